--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Developer and CI entry points. Needs Go and a C compiler.
+GO ?= go
+BIN := bin
+
+.PHONY: all build test demo lint fmt spec bench clean
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: build spec
+	$(GO) test -timeout 10m ./...
+
+demo: build
+	$(BIN)/fulmarbeam demo
+
+fmt:
+	@out=$$(gofmt -l cmd pkg 2>/dev/null); if [ -n "$$out" ]; then echo "gofmt needed: $$out"; exit 1; fi
+
+lint: fmt
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# Model checking with Spin; the script installs it when it is absent.
+spec:
+	@if [ -x spec/check.sh ]; then spec/check.sh; fi
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/pkg/document/types.go
@@ -0,0 +1,127 @@
+// Package document holds the configuration document: its types, the check of a
+// whole document, and the look-ups that routing needs. It depends on nothing but
+// its input, so that every reader of the log reaches the same verdict.
+package document
+
+import (
+	"time"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+)
+
+// Format is the newest document format that this program understands. Defaults of
+// absent fields belong to a format and never change within it.
+const Format = 1
+
+// RootSection is the section that holds the teams and the fleet-wide settings.
+const RootSection = "fleet"
+
+// Document is the whole configuration.
+type Document struct {
+	Format   int                `json:"format"`
+	Root     Root               `json:"fleet"`
+	Sections map[string]Section `json:"sections"`
+}
+
+// Root is the content of the section "fleet".
+type Root struct {
+	Teams        map[string]Team `json:"teams"`
+	KeySlices    int             `json:"key_slices,omitempty"`    // key shards in each region; fixed after genesis; default 64
+	KeyRetention Duration        `json:"key_retention,omitempty"` // how long a finished key is kept; default 10m
+	Regions      []fleet.Region  `json:"regions"`                 // regions of the fleet, for keys without a workspace
+}
+
+// Team is a group of operators and the sections that it may edit.
+type Team struct {
+	Keys     []string `json:"keys"` // Ed25519 public keys, base64
+	Sections []string `json:"sections"`
+}
+
+// Section is a part of the document owned by one team.
+type Section struct {
+	Services   map[fleet.Service]Service `json:"services,omitempty"`
+	Routes     map[string]Route          `json:"routes,omitempty"`
+	Workspaces map[string]Workspace      `json:"workspaces,omitempty"`
+}
+
+// Service describes the backend servers of a service.
+type Service struct {
+	Servers        int      `json:"servers"`     // expected number of servers; the floor may not exceed it
+	Slots          int      `json:"slots"`       // requests that a server runs at once
+	Connections    int      `json:"connections"` // connections that a server takes from the whole fleet
+	Floor          Floor    `json:"floor"`       // least healthy capacity
+	Warmup         Duration `json:"warmup,omitempty"`
+	HealthPath     string   `json:"health_path,omitempty"`
+	EchoHeader     string   `json:"echo_header,omitempty"`     // response header in which the server repeats X-Request-Id
+	CloseDelimited bool     `json:"close_delimited,omitempty"` // accept answers that end with the connection
+}
+
+// Floor is a least number of servers, or a percentage of the pool.
+type Floor struct {
+	Servers int `json:"servers,omitempty"`
+	Percent int `json:"percent,omitempty"`
+}
+
+// Length says how long a route's work takes.
+type Length string
+
+// Lengths of work. LengthLearned is the default.
+const (
+	LengthShort   Length = "short"
+	LengthLong    Length = "long"
+	LengthLearned Length = "learned"
+)
+
+// KeyRule says whether callers must send an Idempotency-Key.
+type KeyRule string
+
+// Key rules. KeyOptional is the default on routes that are not idempotent.
+const (
+	KeyOptional KeyRule = "optional"
+	KeyRequired KeyRule = "required"
+)
+
+// Route matches requests and says how they are run.
+type Route struct {
+	Hosts           []string      `json:"hosts,omitempty"` // empty matches every host
+	Path            string        `json:"path"`            // prefix on path-segment boundaries
+	Methods         []string      `json:"methods,omitempty"`
+	Service         fleet.Service `json:"service"`
+	Length          Length        `json:"length,omitempty"`
+	Idempotent      bool          `json:"idempotent,omitempty"`
+	Key             KeyRule       `json:"key,omitempty"`
+	Weight          float64       `json:"weight,omitempty"` // default 1
+	Deadline        Duration      `json:"deadline,omitempty"`
+	Retries         int           `json:"retries,omitempty"`
+	MaxBody         int64         `json:"max_body,omitempty"` // bytes
+	WorkspaceHeader string        `json:"workspace_header,omitempty"`
+}
+
+// Workspace is a customer: its home region keeps its idempotency keys.
+type Workspace struct {
+	Home   fleet.Region `json:"home"`
+	Weight float64      `json:"weight,omitempty"` // multiplies the route's weight; default 1
+}
+
+// Duration is a time.Duration that JSON spells as in "250ms".
+type Duration time.Duration
+
+// Index is the look-up table of a valid document.
+type Index struct {
+	Doc      *Document
+	Revision uint64 // number of accepted edits
+
+	services map[fleet.Service]Service
+}
+
+// RouteMatch is a route found for a request.
+type RouteMatch struct {
+	Name  string
+	Route Route
+}
+
+// Service returns a service's description.
+func (x *Index) Service(name fleet.Service) (Service, bool) {
+	s, ok := x.services[name]
+	return s, ok
+}
--- /dev/null
+++ b/pkg/fleet/directory.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Directory is one reading of the platform's list of VMs. It is immutable once
+// built; a newer reading replaces it whole.
+type Directory struct {
+	Generation uint64 // rises with each change of the platform's list
+	VMs        []VM   // sorted by ID
+	Servers    []Server
+
+	vmIndex map[VMID]int
+	pools   map[PoolID][]Server
+}
+
+// NewDirectory builds a directory from a reading of the platform's list.
+func NewDirectory(generation uint64, vms []VM, servers []Server) *Directory {
+	d := &Directory{
+		Generation: generation,
+		VMs:        slices.Clone(vms),
+		Servers:    slices.Clone(servers),
+		vmIndex:    make(map[VMID]int, len(vms)),
+		pools:      make(map[PoolID][]Server),
+	}
+	slices.SortFunc(d.VMs, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(d.Servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	for i, vm := range d.VMs {
+		d.vmIndex[vm.ID] = i
+	}
+	for _, s := range d.Servers {
+		d.pools[s.Pool()] = append(d.pools[s.Pool()], s)
+	}
+	return d
+}
+
+// VM returns the row of the VM and whether it is listed.
+func (d *Directory) VM(id VMID) (VM, bool) {
+	i, ok := d.vmIndex[id]
+	if !ok {
+		return VM{}, false
+	}
+	return d.VMs[i], true
+}
+
+// Pool returns the servers of a pool, sorted by ID. The slice must not be changed.
+func (d *Directory) Pool(id PoolID) []Server { return d.pools[id] }
+
+// Pools returns the pools of a service, sorted by region.
+func (d *Directory) Pools(service Service) []PoolID {
+	var ids []PoolID
+	for id := range d.pools {
+		if id.Service == service {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b PoolID) int { return cmp.Compare(a.Region, b.Region) })
+	return ids
+}
+
+// AllPools returns every pool, sorted by service and region.
+func (d *Directory) AllPools() []PoolID {
+	ids := make([]PoolID, 0, len(d.pools))
+	for id := range d.pools {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b PoolID) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Region, b.Region))
+	})
+	return ids
+}
+
+// RegionVMs returns the listed VMs of a region, sorted by ID.
+func (d *Directory) RegionVMs(region Region) []VM {
+	var vms []VM
+	for _, vm := range d.VMs {
+		if vm.Region == region {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// Rendezvous orders VMs by highest-random-weight hashing for a key. Two processes
+// with the same rows get the same order.
+func Rendezvous(key string, vms []VM) []VM {
+	type scored struct {
+		vm    VM
+		score uint64
+	}
+	rows := make([]scored, len(vms))
+	for i, vm := range vms {
+		rows[i] = scored{vm, xxhash.Sum64String(key + "\x00" + string(vm.ID))}
+	}
+	slices.SortFunc(rows, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm.ID, b.vm.ID))
+	})
+	out := make([]VM, len(rows))
+	for i, r := range rows {
+		out[i] = r.vm
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/pool/types.go
@@ -0,0 +1,58 @@
+// Package pool shares the backend servers of a pool between VMs: evidence and
+// ejection, the floor of healthy capacity, slot credits, and admission by weight.
+// Section 6 of docs/design.md describes the rules.
+package pool
+
+import (
+	"time"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+)
+
+// WorkID numbers a piece of work within one process.
+type WorkID uint64
+
+// Work is one attempt of a request that needs a slot of a server.
+type Work struct {
+	ID         WorkID
+	Service    fleet.Service
+	Route      string
+	Length     document.Length
+	Weight     float64
+	Deadline   fleet.Time
+	Idempotent bool
+	IsRetry    bool             // counts against the retry budget
+	Exclude    []fleet.ServerID // servers that this request already tried
+}
+
+// Decision answers a piece of work: a server to run it on, or a code.
+type Decision struct {
+	Work   WorkID
+	Server fleet.Server // set when Code is result.OK
+	Code   result.Code
+	Trial  bool          // the server is on trial after an ejection
+	Queued time.Duration // how long the work waited
+}
+
+// EndState says how an attempt on a server ended.
+type EndState uint8
+
+// Ends of an attempt.
+const (
+	EndOK          EndState = iota + 1
+	EndFailed               // 5xx, reset, truncated or crossed answer
+	EndUnreachable          // no connection
+	EndShed                 // the server declined because of load
+	EndDraining             // the server says that it is leaving
+	EndCallerError          // 4xx: no evidence about the server
+	EndAbandoned            // the caller left or the attempt was cancelled: no evidence
+	EndTimeout              // the deadline passed at the server
+)
+
+// End reports an attempt's end.
+type End struct {
+	State    EndState
+	Duration time.Duration // time at the server
+}
--- /dev/null
+++ b/pkg/wire/wire_test.go
@@ -0,0 +1,57 @@
+package wire
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+)
+
+type sample struct {
+	Name string `msgpack:"n"`
+	N    uint64 `msgpack:"u"`
+}
+
+func (*sample) Kind() fleet.Kind { return 65000 }
+
+func init() { Register(func() fleet.Message { return &sample{} }) }
+
+func TestFrameRoundTrip(t *testing.T) {
+	frame, err := Encode(&sample{"x", 1 << 40})
+	require.NoError(t, err)
+	m, err := Decode(frame)
+	require.NoError(t, err)
+	require.Equal(t, &sample{"x", 1 << 40}, m)
+}
+
+// A cut frame must be an error and never a shorter message.
+func TestTruncatedFrameIsAnError(t *testing.T) {
+	frame, err := Encode(&sample{"hello", 7})
+	require.NoError(t, err)
+	for n := 1; n < len(frame); n++ {
+		_, err := Read(bytes.NewReader(frame[:n]))
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF, "cut at %d", n)
+	}
+}
+
+// A peer must not make the reader allocate more than the bound.
+func TestOversizedFrameIsRefused(t *testing.T) {
+	_, err := Read(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff, 0, 1}))
+	var frameErr *FrameError
+	require.ErrorAs(t, err, &frameErr)
+}
+
+func FuzzDecode(f *testing.F) {
+	frame, _ := Encode(&sample{"seed", 3})
+	f.Add(frame)
+	f.Add([]byte{0, 0, 0, 0, 0, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err == nil && m == nil {
+			t.Fatal("no message and no error")
+		}
+	})
+}
