--- /dev/null
+++ b/pkg/core/node.go
@@ -0,0 +1,210 @@
+// Package core joins the deterministic modules of one entry VM: configuration log,
+// shard ownership, idempotency keys and pools. It has no clock, socket, goroutine,
+// environment or global random number. Time and messages are passed in, so that many
+// nodes can be driven in one process by a test or a bench.
+package core
+
+import (
+	"time"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/configlog"
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/keys"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+	"github.com/fulmarbeam/fulmarbeam/pkg/shard"
+)
+
+// Ranges of message kinds, by module. Package fleet documents them.
+const (
+	kindsPerModule = 100
+	moduleConfig   = 1
+	moduleShard    = 2
+	moduleKeys     = 3
+	modulePool     = 4
+
+	// maxLocalRounds bounds the exchange of messages between modules of one VM
+	// within one call. The modules need two rounds; the rest waits for the next tick.
+	maxLocalRounds = 16
+)
+
+// Config describes the process.
+type Config struct {
+	Self    fleet.Member
+	Region  fleet.Region
+	Zone    fleet.Zone
+	Stream  string // of the configuration in the log service
+	RootKey []byte // Ed25519 public key that the first record must carry
+	Seed    uint64
+	Policy  pool.Policy // how slots are shared; empty means the product's own
+
+	// ListSettle is how long a new process waits before it claims shards. It must
+	// exceed the lag of the platform's list; zero means the default of package shard.
+	ListSettle time.Duration
+	// WallClock enables keys that carry their own time, see keys.Config.
+	WallClock func(fleet.Time) time.Time
+}
+
+// Node is one entry VM's decision state. Its methods must not be called concurrently.
+type Node struct {
+	cfg    Config
+	dir    *fleet.Directory
+	index  *document.Index
+	config *configlog.Node
+	shards *shard.Manager
+	keys   *keys.Keys
+	pools  *pool.Pools
+	opens  *openings
+
+	outbox []fleet.Envelope
+	events []fleet.Event
+}
+
+// New returns a node that knows neither the platform's list nor a document.
+func New(cfg Config) *Node {
+	n := &Node{cfg: cfg}
+	n.config = configlog.New(configlog.Config{
+		Stream: cfg.Stream, RootKey: cfg.RootKey, Self: cfg.Self, Region: cfg.Region, Seed: cfg.Seed,
+	})
+	n.opens = newOpenings(n.config)
+	replicas := make(map[shard.Class]shard.Replica)
+	n.shards = shard.New(shard.Config{
+		Self: cfg.Self, Region: cfg.Region, Zone: cfg.Zone, Replicas: replicas, ListSettle: cfg.ListSettle,
+	})
+	n.keys = keys.New(keys.Config{
+		Self: cfg.Self, Region: cfg.Region, Authority: n.shards, Membership: n.shards,
+		Opened: n.opens.state, WallClock: cfg.WallClock,
+	})
+	n.pools = pool.New(pool.Config{
+		Self: cfg.Self, Region: cfg.Region, Zone: cfg.Zone, Seed: cfg.Seed, Authority: n.shards, Policy: cfg.Policy,
+	})
+	replicas[shard.ClassKeys] = lossObserver{n.keys, n.opens}
+	replicas[shard.ClassPool] = n.pools
+	return n
+}
+
+// SetDirectory takes in a reading of the platform's list. An older generation than
+// the one in force is ignored.
+func (n *Node) SetDirectory(now fleet.Time, dir *fleet.Directory) {
+	if n.dir != nil && dir.Generation < n.dir.Generation {
+		return
+	}
+	n.dir = dir
+	n.config.SetDirectory(now, dir)
+	n.shards.SetDirectory(now, dir)
+	n.keys.SetDirectory(now, dir)
+	n.pools.SetDirectory(now, dir)
+	n.wantShards(now)
+	n.settle(now)
+}
+
+// SawIncarnation tells that a link's hello showed this process of a VM.
+func (n *Node) SawIncarnation(now fleet.Time, member fleet.Member) {
+	n.shards.SawIncarnation(now, member)
+}
+
+// Tick runs the systems over their tables. It is meant to be called every 10 ms.
+func (n *Node) Tick(now fleet.Time) {
+	n.config.Tick(now)
+	n.shards.Tick(now)
+	n.keys.Tick(now)
+	n.pools.Tick(now)
+	n.settle(now)
+}
+
+// Step takes in a message from another VM.
+func (n *Node) Step(now fleet.Time, from fleet.Member, m fleet.Message) {
+	n.dispatch(now, from, m)
+	n.settle(now)
+}
+
+func (n *Node) dispatch(now fleet.Time, from fleet.Member, m fleet.Message) {
+	switch m.Kind() / kindsPerModule {
+	case moduleConfig:
+		n.config.Step(now, from, m)
+	case moduleShard:
+		n.shards.Step(now, from, m)
+	case moduleKeys:
+		n.keys.Step(now, from, m)
+	case modulePool:
+		n.pools.Step(now, from, m)
+	}
+}
+
+// settle passes what one module produced to the others and collects the messages for
+// other VMs.
+func (n *Node) settle(now fleet.Time) {
+	for range maxLocalRounds {
+		n.applyDocument(now)
+		n.requestOpenings()
+		if !n.deliverLocal(now) {
+			break
+		}
+	}
+	n.events = append(n.events, n.config.Events()...)
+	n.events = append(n.events, n.shards.Events()...)
+	n.events = append(n.events, n.keys.Events()...)
+	n.events = append(n.events, n.pools.Events()...)
+}
+
+func (n *Node) applyDocument(now fleet.Time) {
+	index := n.config.Index()
+	if index == n.index {
+		return
+	}
+	n.index = index
+	n.keys.SetDocument(now, index)
+	n.pools.SetDocument(now, index)
+	n.wantShards(now)
+}
+
+func (n *Node) requestOpenings() {
+	for _, id := range n.keys.OpenRequests() {
+		n.opens.request(id)
+	}
+}
+
+// deliverLocal reports whether a message went to this VM itself.
+func (n *Node) deliverLocal(now fleet.Time) bool {
+	local := false
+	for _, out := range [][]fleet.Envelope{n.config.Outbox(), n.shards.Outbox(), n.keys.Outbox(), n.pools.Outbox()} {
+		for _, e := range out {
+			if e.To == "" || e.To == n.cfg.Self.VM {
+				n.dispatch(now, n.cfg.Self, e.Message)
+				local = true
+				continue
+			}
+			n.outbox = append(n.outbox, e)
+		}
+	}
+	return local
+}
+
+// wantShards names the shards that this region needs: one for each pool of a service
+// in the document and the region's key shards.
+func (n *Node) wantShards(now fleet.Time) {
+	if n.dir == nil || n.index == nil {
+		return
+	}
+	ids := n.keys.Shards(n.cfg.Region)
+	for _, p := range n.dir.AllPools() {
+		if _, known := n.index.Service(p.Service); known && p.Region == n.cfg.Region {
+			ids = append(ids, shard.PoolShard(p))
+		}
+	}
+	n.shards.Want(now, ids)
+}
+
+// Outbox returns and clears the messages for other VMs.
+func (n *Node) Outbox() []fleet.Envelope {
+	out := n.outbox
+	n.outbox = nil
+	return out
+}
+
+// Events returns and clears the events since the last call.
+func (n *Node) Events() []fleet.Event {
+	out := n.events
+	n.events = nil
+	return out
+}
