--- a/pkg/journal/batcher.go
+++ b/pkg/journal/batcher.go
@@ -60,7 +60,7 @@
 	omitted map[string]int
 	seq     uint64
 	nextAt  fleet.Time // no append before this instant
-	sent    *Batch // not known to be in the stream yet
+	sent    *Batch     // not known to be in the stream yet
 }
 
 type window struct {
--- a/pkg/operator/backend.go
+++ b/pkg/operator/backend.go
@@ -131,6 +131,16 @@
 	Lagging  []fleet.VMID `json:"lagging,omitempty"` // VMs that have not applied it
 }
 
+// NewVerdict returns a verdict with its code's name.
+func NewVerdict(code result.Code, detail string) Verdict {
+	return Verdict{Code: code, Name: code.String(), Detail: detail}
+}
+
+// Accepted reports whether the edit is in the log and valid.
+func (v Verdict) Accepted() bool {
+	return v.Code == result.OK || v.Code == result.ConfigDuplicate || v.Code == result.ConfigLagging
+}
+
 // HistoryQuery selects verdicts.
 type HistoryQuery struct {
 	Section string
@@ -215,7 +225,8 @@
 
 // DrainRequest asks a VM to shut down.
 type DrainRequest struct {
-	Reason string `json:"reason"`
+	VM     fleet.VMID `json:"vm"` // must be the VM that gets the request
+	Reason string     `json:"reason"`
 }
 
 // DrainStatus is the progress of a shutdown.
@@ -239,3 +250,8 @@
 	Detail string      `json:"detail,omitempty"`
 	Events int         `json:"events"`
 }
+
+// GenesisRequest asks to append the first record.
+type GenesisRequest struct {
+	Record json.RawMessage `json:"record"`
+}
--- a/pkg/operator/failure.go
+++ b/pkg/operator/failure.go
@@ -16,6 +16,7 @@
 	Name      string      `json:"name"`
 	Detail    string      `json:"detail"`
 	RequestID string      `json:"request_id"`
+	Verdict   *Verdict    `json:"verdict,omitempty"` // of an edit that was judged and not accepted
 }
 
 // asResult finds the result code of an error.
@@ -35,8 +36,6 @@
 			return result.Errorf(result.NotFound, "%s", detail)
 		case http.StatusMethodNotAllowed:
 			return result.Errorf(result.MethodNotAllowed, "%s", detail)
-		case http.StatusRequestEntityTooLarge:
-			return result.Errorf(result.BodyTooLarge, "the body exceeds %d bytes", MaxBody)
 		case http.StatusBadRequest, http.StatusUnsupportedMediaType:
 			return result.Errorf(result.UsageError, "%s", detail)
 		}
