Add the command line fulmarctl and the skeleton of fulmarbeam

Cause: operators need a client for the API and the daemon needs its commands. Conclusion: ready to be joined with the node.

--- /dev/null
+++ b/cmd/fulmarbeam/commands.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+	"github.com/fulmarbeam/fulmarbeam/pkg/settings"
+	"github.com/fulmarbeam/fulmarbeam/pkg/wire"
+)
+
+// execute runs the command line and returns the exit code of docs/errors.md.
+func execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(stderr, "error:", err)
+	var coded *result.Error
+	if errors.As(err, &coded) {
+		return coded.Code.Info().ExitCode
+	}
+	return result.UsageError.Info().ExitCode
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "fulmarbeam",
+		Short:         "Entry VM of a proxy fleet that is responsible for request outcomes",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	root.AddCommand(newRun(), newCheck(), newVersion())
+	return root
+}
+
+func newRun() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:     "run",
+		Short:   "Run an entry VM until SIGTERM",
+		Example: "  fulmarbeam run --settings /etc/fulmarbeam/settings.jsonc",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := load(file)
+			if err != nil {
+				return err
+			}
+			return runNode(cmd.Context(), s)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file (JSON with comments)")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+// runNode runs the VM until ctx ends. Package node is not connected yet.
+func runNode(context.Context, *settings.Settings) error {
+	return result.Errorf(result.Internal, "this build has no node")
+}
+
+// load reads the settings. A file that cannot be read has the code SettingsInvalid too.
+func load(file string) (*settings.Settings, error) {
+	s, err := settings.Load(file)
+	var problems *settings.Error
+	if err != nil && !errors.As(err, &problems) {
+		return nil, result.Errorf(result.SettingsInvalid, "%v", err)
+	}
+	return s, err
+}
+
+func newCheck() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Check a settings file and report all problems at once",
+		Example: "  fulmarbeam check settings.jsonc",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, err := load(args[0])
+			var problems *settings.Error
+			if asJSON && errors.As(err, &problems) {
+				enc := json.NewEncoder(cmd.OutOrStdout())
+				enc.SetIndent("", "  ")
+				if encErr := enc.Encode(problems.Problems); encErr != nil {
+					return result.Errorf(result.Internal, "output: %v", encErr)
+				}
+			}
+			if err == nil {
+				fmt.Fprintln(cmd.OutOrStdout(), args[0]+": ok")
+			}
+			return err
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print the problems as JSON")
+	return cmd
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version of the program and of the link protocol",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			fmt.Fprintf(cmd.OutOrStdout(), "fulmarbeam %s, link protocol %d, %s\n", version(), wire.ProtocolVersion, runtime.Version())
+			return nil
+		},
+	}
+}
+
+// version returns the module's version, or the revision that the program was built from.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	if v := info.Main.Version; v != "" && v != "(devel)" {
+		return v
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return "devel"
+}
--- a/cmd/fulmarbeam/main.go
+++ b/cmd/fulmarbeam/main.go
@@ -1,4 +1,16 @@
 // Command fulmarbeam runs an entry VM of the proxy fleet.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := execute(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/cmd/fulmarctl/key.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+)
+
+// teamKey is the content of a key file.
+type teamKey struct {
+	Team    string `json:"team"`
+	Public  string `json:"public_key"`  // base64 Ed25519, as the section "fleet" and settings hold it
+	Private string `json:"private_key"` // base64 seed of 32 bytes
+}
+
+// private returns the key for signing.
+func (k teamKey) private() (ed25519.PrivateKey, error) {
+	seed, err := base64.StdEncoding.DecodeString(k.Private)
+	if err != nil || len(seed) != ed25519.SeedSize {
+		return nil, result.Errorf(result.UsageError, "private_key is not a base64 seed of %d bytes", ed25519.SeedSize)
+	}
+	key := ed25519.NewKeyFromSeed(seed)
+	if base64.StdEncoding.EncodeToString(key.Public().(ed25519.PublicKey)) != k.Public {
+		return nil, result.Errorf(result.UsageError, "public_key does not belong to private_key")
+	}
+	return key, nil
+}
+
+func newTeamKey(team string) (teamKey, error) {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return teamKey{}, result.Errorf(result.Internal, "key: %v", err)
+	}
+	return teamKey{
+		Team:    team,
+		Public:  base64.StdEncoding.EncodeToString(public),
+		Private: base64.StdEncoding.EncodeToString(private.Seed()),
+	}, nil
+}
+
+// write creates the key file for its owner only and never replaces one.
+func (k teamKey) write(path string) error {
+	data, err := json.MarshalIndent(k, "", "  ")
+	if err != nil {
+		return result.Errorf(result.Internal, "key: %v", err)
+	}
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return result.Errorf(result.UsageError, "key file: %v", err)
+	}
+	_, err = f.Write(append(data, '\n'))
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return result.Errorf(result.Internal, "key file: %v", err)
+	}
+	return nil
+}
+
+// readTeamKey reads a key file, which others than its owner must not be able to read.
+func readTeamKey(path string) (teamKey, error) {
+	var k teamKey
+	if path == "" {
+		return k, result.Errorf(result.UsageError, "--key FILE is missing; fulmarctl key new makes one")
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return k, result.Errorf(result.UsageError, "key file: %v", err)
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return k, result.Errorf(result.UsageError, "key file %s can be read by others (mode %v), make it 0600", path, info.Mode().Perm())
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return k, result.Errorf(result.UsageError, "key file: %v", err)
+	}
+	if err := json.Unmarshal(data, &k); err != nil {
+		return k, result.Errorf(result.UsageError, "key file %s: %v", path, err)
+	}
+	_, err = k.private()
+	return k, err
+}
+
+func newKey(o *options) *cobra.Command {
+	key := &cobra.Command{Use: "key", Short: "Make keys of teams and of the fleet's root", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
+	var team, file string
+	create := &cobra.Command{
+		Use:   "new",
+		Short: "Make an Ed25519 key pair file",
+		Long: "New writes a key pair to a new file that only its owner can read, and prints the public key for the\n" +
+			"section \"fleet\" or for root_key of the settings.",
+		Example: "  fulmarctl key new --team payments --file payments.key",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			k, err := newTeamKey(team)
+			if err == nil {
+				err = k.write(file)
+			}
+			if err != nil {
+				return err
+			}
+			shown := map[string]string{"team": k.Team, "public_key": k.Public, "file": file}
+			return o.show(cmd, shown, func() table {
+				return table{head: []string{"TEAM", "PUBLIC KEY", "FILE"}, rows: [][]string{{k.Team, k.Public, file}}}
+			})
+		},
+	}
+	create.Flags().StringVar(&team, "team", "", "name of the team, or root")
+	create.Flags().StringVar(&file, "file", "", "file to create")
+	_ = create.MarkFlagRequired("team")
+	_ = create.MarkFlagRequired("file")
+	key.AddCommand(create)
+	return key
+}
--- a/pkg/operator/api.go
+++ b/pkg/operator/api.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -17,6 +19,7 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/journal"
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
 	"github.com/fulmarbeam/fulmarbeam/pkg/telemetry"
+	"github.com/fulmarbeam/fulmarbeam/pkg/tlsconf"
 )
 
 // Bounds of the API.
@@ -97,6 +100,23 @@
 	}
 }
 
+// Listen binds the API's address. Without certificates only a loopback address is
+// accepted.
+func Listen(address string, src *tlsconf.Source) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotate(err, "operators' listener")
+	}
+	if src != nil {
+		return tls.NewListener(l, src.Server()), nil
+	}
+	if tcp, ok := l.Addr().(*net.TCPAddr); !ok || !tcp.IP.IsLoopback() {
+		l.Close()
+		return nil, result.Errorf(result.SettingsInvalid, "operators' listener %s is not a loopback address and has no certificates", address)
+	}
+	return l, nil
+}
+
 func requestID(c echo.Context) string { return c.Response().Header().Get(telemetry.RequestIDHeader) }
 
 // identify gives each request an id, which the answer and the log repeat.
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -18,14 +19,18 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/tlsconf"
 )
 
-// maxAnswer bounds what the client reads of an answer.
-const maxAnswer = 64 << 20
+const (
+	// maxAnswer bounds what the client reads of an answer.
+	maxAnswer      = 64 << 20
+	defaultConnect = 2 * time.Second
+)
 
 // ClientConfig says which VMs to ask and how.
 type ClientConfig struct {
 	Addresses  []string        // host:port, tried in turn until one answers
 	TLS        *tlsconf.Source // nil: plain HTTP
 	ServerName string          // name in the VM's certificate; empty: the address's host
+	Connect    time.Duration   // of one connect; 0: defaultConnect
 	Timeout    time.Duration   // of one try; 0: only the context's
 }
 
@@ -41,7 +46,17 @@
 	if len(cfg.Addresses) == 0 {
 		return nil, result.Errorf(result.UsageError, "no address of a VM is given")
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout, ResponseHeaderTimeout: cfg.Timeout}
+	if cfg.Connect == 0 {
+		cfg.Connect = defaultConnect
+	}
+	dialer := &net.Dialer{Timeout: cfg.Connect}
+	// The proxy of the environment is not used: VMs are reached directly.
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		TLSHandshakeTimeout: cfg.Connect,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     idleTimeout,
+	}
 	if cfg.TLS != nil {
 		transport.TLSClientConfig = cfg.TLS.Client(cfg.ServerName)
 	}
@@ -63,6 +78,7 @@
 		}
 	}
 	var last error
+	maybeSent := false
 	for _, addr := range c.cfg.Addresses {
 		u := url.URL{Scheme: "http", Host: addr, Path: path, RawQuery: query.Encode()}
 		if c.cfg.TLS != nil {
@@ -73,13 +89,36 @@
 			return nil
 		}
 		last = err
+		var lost *lostError
+		maybeSent = maybeSent || errors.As(err, &lost)
 		if !worthAnother(err) || ctx.Err() != nil {
 			break
 		}
 	}
+	if maybeSent && method == http.MethodPost && worthAnother(last) {
+		return result.Errorf(result.ConfigUnknown, "the request may have taken effect: %v", last)
+	}
 	return last
 }
 
+// lostError is the failure of a request that may have reached the VM.
+type lostError struct{ cause *result.Error }
+
+func (e *lostError) Error() string { return e.cause.Error() }
+
+func (e *lostError) Unwrap() error { return e.cause }
+
+// unanswered classifies the failure of a request without an answer. Only a failed
+// connect proves that the VM has not seen the request.
+func unanswered(err error) error {
+	cause := result.Errorf(result.Unreachable, "%v", err)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return cause
+	}
+	return &lostError{cause}
+}
+
 // worthAnother reports whether another VM may do better.
 func worthAnother(err error) bool {
 	switch asResult(err).Code {
@@ -118,12 +157,12 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return result.Errorf(result.Unreachable, "%v", err)
+		return unanswered(err)
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err != nil {
-		return result.Errorf(result.Unreachable, "%s: answer: %v", url, err)
+		return &lostError{result.Errorf(result.Unreachable, "%s: answer: %v", url, err)}
 	}
 	if len(answer) > maxAnswer {
 		return result.Errorf(result.BodyTooLarge, "%s: the answer exceeds %d bytes", url, maxAnswer)
--- a/pkg/operator/explain.go
+++ b/pkg/operator/explain.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/journal"
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+	"github.com/fulmarbeam/fulmarbeam/pkg/tlsconf"
 )
 
 const (
@@ -149,6 +150,16 @@
 	return parts
 }
 
+// DialPeers returns a function for Options.Dial. With certificates, the peer's must
+// name its VM id.
+func DialPeers(src *tlsconf.Source) func(VMStatus) (*Client, error) {
+	return func(vm VMStatus) (*Client, error) {
+		return NewClient(ClientConfig{
+			Addresses: []string{vm.Operators}, TLS: src, ServerName: string(vm.ID), Timeout: peerTimeout,
+		})
+	}
+}
+
 func failedPart(name string, err error) part {
 	coded := asResult(err)
 	return part{source: Source{Name: name, Code: coded.Code, Detail: coded.Detail}}
