Add document, configlog, platform clients and stand-ins

Cause: VMs need one agreed configuration from an append-only log that may be away, duplicate records or drop old ones. Change: pkg/document parses, validates, patches, hashes and indexes the document; pkg/configlog judges log records and distributes them between VMs; pkg/platform has HTTP clients of log service and VM list; pkg/standin serves simulations of both. Conclusion: first version; configlog and stand-ins have no tests yet.

--- /dev/null
+++ b/pkg/configlog/record.go
@@ -0,0 +1,186 @@
+// Package configlog agrees on the configuration through an append-only log. State
+// gives every reader of the same log the same verdict on each edit. Node adds what
+// happens between entry VMs: relays, pulls, state transfer and snapshots.
+package configlog
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/platform"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+)
+
+// Format is the newest record format that this program understands. A reader stops
+// at a record of a newer one.
+const Format = 1
+
+// Bounds of records.
+const (
+	// MaxRecordBytes bounds a record. A longer one is refused by every reader.
+	MaxRecordBytes = 1 << 20
+	// MaxPatchBytes bounds the merge patch of an edit.
+	MaxPatchBytes = 768 << 10
+	// MaxIDBytes bounds the id of an edit or a snapshot.
+	MaxIDBytes = 64
+	// SnapshotPartBytes is the data of one part of a snapshot.
+	SnapshotPartBytes = 512 << 10
+	// MaxStateBytes bounds an encoded state, in snapshots and between VMs.
+	MaxStateBytes = 256 << 20
+	// maxOpenedSlices bounds the slices that one record opens.
+	maxOpenedSlices = document.MaxKeySlices
+)
+
+// magic starts each record, so that foreign bytes are never taken for a newer format.
+var magic = []byte("fbcl")
+
+// RecordType tells the records of the log apart.
+type RecordType uint8
+
+// Types of records.
+const (
+	TypeGenesis RecordType = iota + 1
+	TypeEdit
+	TypeSnapshot
+	TypeOpened
+)
+
+// Genesis is the first record. It carries the root section, signed by the root key.
+type Genesis struct {
+	Stream    string `msgpack:"s" json:"stream"`
+	RootKey   []byte `msgpack:"k" json:"root_key"` // Ed25519 public key
+	Root      []byte `msgpack:"r" json:"root"`     // canonical JSON of the root section
+	Signature []byte `msgpack:"g" json:"signature"`
+}
+
+// Edit is a signed change of one section.
+type Edit struct {
+	ID         string        `msgpack:"i" json:"id"`
+	Section    string        `msgpack:"s" json:"section"`
+	Base       uint64        `msgpack:"b" json:"base"`  // revision of the section that the edit changes
+	Patch      []byte        `msgpack:"p" json:"patch"` // RFC 7386 merge patch
+	ResultHash document.Hash `msgpack:"h" json:"result_hash"`
+	Team       string        `msgpack:"t" json:"team"`
+	Key        []byte        `msgpack:"k" json:"key"` // Ed25519 public key
+	Signature  []byte        `msgpack:"g" json:"signature"`
+}
+
+// Snapshot is a part of an encoded state.
+type Snapshot struct {
+	ID       string          `msgpack:"i"`
+	Covers   platform.Offset `msgpack:"c"` // offset of the last record included
+	Part     int             `msgpack:"p"` // from 0
+	Parts    int             `msgpack:"n"`
+	Bytes    int             `msgpack:"b"` // of the whole encoded state
+	Chain    document.Hash   `msgpack:"h"` // chained hash of the state at Covers
+	DataHash document.Hash   `msgpack:"x"` // of the whole encoded state
+	Data     []byte          `msgpack:"d"`
+}
+
+// Opened says that key shards of a region are about to admit their first key.
+type Opened struct {
+	Region fleet.Region `msgpack:"r"`
+	Slices []int        `msgpack:"n"`
+}
+
+// EncodeGenesis returns the genesis as a log record.
+func EncodeGenesis(g Genesis) ([]byte, error) { return encodeRecord(TypeGenesis, &g) }
+
+// EncodeEdit returns the edit as a log record.
+func EncodeEdit(e Edit) ([]byte, error) { return encodeRecord(TypeEdit, &e) }
+
+// EncodeSnapshot returns the snapshot part as a log record.
+func EncodeSnapshot(p Snapshot) ([]byte, error) { return encodeRecord(TypeSnapshot, &p) }
+
+// EncodeOpened returns the opening of key shards as a log record.
+func EncodeOpened(o Opened) ([]byte, error) { return encodeRecord(TypeOpened, &o) }
+
+func encodeRecord(t RecordType, body any) ([]byte, error) {
+	data, err := marshal(body)
+	if err != nil {
+		return nil, result.Errorf(result.ConfigBadForm, "encode record: %s", err)
+	}
+	out := append(bytes.Clone(magic), Format, byte(t))
+	out = append(out, data...)
+	if len(out) > MaxRecordBytes {
+		return nil, result.Errorf(result.ConfigTooLarge, "record of %d bytes exceeds %d", len(out), MaxRecordBytes)
+	}
+	return out, nil
+}
+
+// DecodeRecord returns *Genesis, *Edit, *Snapshot or *Opened. Errors have the codes
+// ConfigTooLarge, ConfigBadForm or ConfigNewFormat.
+func DecodeRecord(data []byte) (any, *result.Error) {
+	head := len(magic) + 2
+	if len(data) > MaxRecordBytes {
+		return nil, result.Errorf(result.ConfigTooLarge, "record of %d bytes exceeds %d", len(data), MaxRecordBytes)
+	}
+	if len(data) < head || !bytes.Equal(data[:len(magic)], magic) {
+		return nil, result.Errorf(result.ConfigBadForm, "not a configuration record")
+	}
+	if format := data[len(magic)]; format > Format {
+		return nil, result.Errorf(result.ConfigNewFormat, "record of format %d, this program understands %d", format, Format)
+	} else if format == 0 {
+		return nil, result.Errorf(result.ConfigBadForm, "record of format 0")
+	}
+	var body any
+	switch RecordType(data[head-1]) {
+	case TypeGenesis:
+		body = new(Genesis)
+	case TypeEdit:
+		body = new(Edit)
+	case TypeSnapshot:
+		body = new(Snapshot)
+	case TypeOpened:
+		body = new(Opened)
+	default:
+		return nil, result.Errorf(result.ConfigBadForm, "record of unknown type %d", data[head-1])
+	}
+	if err := unmarshal(data[head:], body); err != nil {
+		return nil, result.Errorf(result.ConfigBadForm, "%s", err)
+	}
+	return body, nil
+}
+
+func marshal(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseCompactInts(true)
+	err := enc.Encode(v)
+	return buf.Bytes(), err
+}
+
+// unmarshal decodes one whole value. Unknown fields are errors, so that a record
+// has one meaning for all readers.
+func unmarshal(data []byte, v any) error {
+	r := bytes.NewReader(data)
+	dec := msgpack.NewDecoder(r)
+	dec.DisallowUnknownFields(true)
+	if err := dec.Decode(v); err != nil {
+		return err
+	}
+	if r.Len() > 0 {
+		return result.Errorf(result.ConfigBadForm, "%d bytes after the record", r.Len())
+	}
+	return nil
+}
+
+// digest hashes fields with their lengths, so that fields cannot run into each other.
+func digest(domain string, fields ...[]byte) document.Hash {
+	h := sha256.New()
+	h.Write([]byte(domain))
+	var size [8]byte
+	for _, f := range fields {
+		binary.BigEndian.PutUint64(size[:], uint64(len(f)))
+		h.Write(size[:])
+		h.Write(f)
+	}
+	return document.Hash(h.Sum(nil))
+}
+
+func number(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
--- /dev/null
+++ b/pkg/document/defaults.go
@@ -0,0 +1,67 @@
+package document
+
+import "time"
+
+// Defaults of format 1. They are part of the format: changing one changes what
+// published documents mean, so a change needs a new format.
+const (
+	DefaultKeySlices    = 64
+	DefaultKeyRetention = Duration(10 * time.Minute)
+	DefaultWarmup       = Duration(0)
+	DefaultHealthPath   = "/healthz"
+	DefaultWeight       = 1.0
+	DefaultDeadline     = Duration(30 * time.Second)
+	DefaultRetries      = 1       // repeats of idempotent work
+	DefaultMaxBody      = 1 << 20 // bytes
+)
+
+// Filled returns the root with the defaults of format 1.
+func (r Root) Filled() Root {
+	if r.KeySlices == 0 {
+		r.KeySlices = DefaultKeySlices
+	}
+	if r.KeyRetention == 0 {
+		r.KeyRetention = DefaultKeyRetention
+	}
+	return r
+}
+
+// Filled returns the service with the defaults of format 1.
+func (s Service) Filled() Service {
+	if s.HealthPath == "" {
+		s.HealthPath = DefaultHealthPath
+	}
+	return s
+}
+
+// Filled returns the route with the defaults of format 1. Retries of a route that
+// is not idempotent stay 0; work that was proved not to run may still be repeated.
+func (r Route) Filled() Route {
+	if r.Length == "" {
+		r.Length = LengthLearned
+	}
+	if r.Key == "" && !r.Idempotent {
+		r.Key = KeyOptional
+	}
+	if r.Weight == 0 {
+		r.Weight = DefaultWeight
+	}
+	if r.Deadline == 0 {
+		r.Deadline = DefaultDeadline
+	}
+	if r.Retries == 0 && r.Idempotent {
+		r.Retries = DefaultRetries
+	}
+	if r.MaxBody == 0 {
+		r.MaxBody = DefaultMaxBody
+	}
+	return r
+}
+
+// Filled returns the workspace with the defaults of format 1.
+func (w Workspace) Filled() Workspace {
+	if w.Weight == 0 {
+		w.Weight = DefaultWeight
+	}
+	return w
+}
--- /dev/null
+++ b/pkg/document/patch.go
@@ -0,0 +1,194 @@
+package document
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/tailscale/hujson"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+)
+
+// PatchRoot applies an RFC 7386 merge patch to the root.
+func PatchRoot(root Root, patch []byte) (Root, error) {
+	data, err := CanonicalRoot(root)
+	if err != nil {
+		return Root{}, err
+	}
+	if err := checkRepeats(patch, RootSection); err != nil {
+		return Root{}, err
+	}
+	merged, err := mergePatch(data, patch, RootSection)
+	if err != nil {
+		return Root{}, err
+	}
+	return ParseRoot(merged)
+}
+
+// PatchSection applies an RFC 7386 merge patch to a section and names the entries
+// that it touches. Only these are decoded and merged; the result equals a merge of
+// the whole section. The section given stays as it is.
+func PatchSection(name string, s Section, patch []byte) (Section, []Ref, error) {
+	path := "sections." + name
+	var parts map[string]json.RawMessage
+	if err := decodeObject(patch, &parts); err != nil {
+		return Section{}, nil, Problems{{path, err.Error()}}
+	}
+	var refs []Ref
+	if err := checkRepeats(patch, path); err != nil {
+		return Section{}, nil, err
+	}
+	var problems Problems
+	for _, part := range slices.Sorted(maps.Keys(parts)) {
+		raw, where := parts[part], join(path, part)
+		switch kind := EntryKind(part); kind {
+		case KindService:
+			s.Services = patchMap(s.Services, kind, raw, where, &refs, &problems)
+		case KindRoute:
+			s.Routes = patchMap(s.Routes, kind, raw, where, &refs, &problems)
+		case KindWorkspace:
+			s.Workspaces = patchMap(s.Workspaces, kind, raw, where, &refs, &problems)
+		default:
+			problems.addf(where, "unknown field")
+		}
+	}
+	return s, refs, problems.err()
+}
+
+func patchMap[K ~string, V any](cur map[K]V, kind EntryKind, raw json.RawMessage, path string, refs *[]Ref,
+	problems *Problems) map[K]V {
+	touch := func(name K) { *refs = append(*refs, Ref{kind, string(name)}) }
+	if string(raw) == "null" {
+		for _, name := range slices.Sorted(maps.Keys(cur)) {
+			touch(name)
+		}
+		return nil
+	}
+	var entries map[K]json.RawMessage
+	if err := decodeObject(raw, &entries); err != nil {
+		problems.addf(path, "%s", err)
+		return cur
+	}
+	out := maps.Clone(cur)
+	if out == nil {
+		out = make(map[K]V, len(entries))
+	}
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		touch(name)
+		if string(entries[name]) == "null" {
+			delete(out, name)
+			continue
+		}
+		value, err := patchEntry(out[name], hasKey(out, name), entries[name], join(path, string(name)))
+		if err != nil {
+			*problems = append(*problems, asProblems(err)...)
+			continue
+		}
+		out[name] = value
+	}
+	return out
+}
+
+func hasKey[K comparable, V any](m map[K]V, key K) bool {
+	_, ok := m[key]
+	return ok
+}
+
+func patchEntry[V any](cur V, present bool, patch []byte, path string) (V, error) {
+	var out V
+	data := []byte("{}")
+	if present {
+		var err error
+		if data, err = json.Marshal(cur); err != nil {
+			return out, err
+		}
+	}
+	merged, err := mergePatch(data, patch, path)
+	if err != nil {
+		return out, err
+	}
+	err = strictDecode(merged, path, &out)
+	return out, err
+}
+
+func mergePatch(data, patch []byte, path string) ([]byte, error) {
+	var object map[string]json.RawMessage
+	if err := decodeObject(patch, &object); err != nil {
+		return nil, Problems{{path, err.Error()}}
+	}
+	merged, err := jsonpatch.MergePatch(data, patch)
+	if err != nil {
+		return nil, Problems{{path, err.Error()}}
+	}
+	return merged, nil
+}
+
+// decodeObject decodes a JSON object by name. Values stay raw.
+func decodeObject[K ~string](data []byte, out *map[K]json.RawMessage) error {
+	if !json.Valid(data) {
+		return fmt.Errorf("not valid JSON")
+	}
+	if err := json.Unmarshal(data, out); err != nil || *out == nil {
+		return fmt.Errorf("want an object")
+	}
+	return nil
+}
+
+// checkRepeats refuses a patch in which an object repeats a name: libraries differ
+// in which of the values they take.
+func checkRepeats(patch []byte, path string) error {
+	if !json.Valid(patch) {
+		return Problems{{path, "not valid JSON"}}
+	}
+	tree, err := hujson.Parse(patch)
+	if err != nil {
+		return Problems{{path, err.Error()}}
+	}
+	var problems Problems
+	findRepeats(&problems, tree.Value, path)
+	return problems.err()
+}
+
+func findRepeats(problems *Problems, value hujson.ValueTrimmed, path string) {
+	switch v := value.(type) {
+	case *hujson.Object:
+		seen := make(map[string]struct{}, len(v.Members))
+		for i := range v.Members {
+			literal, _ := v.Members[i].Name.Value.(hujson.Literal)
+			name := literal.String()
+			if _, repeated := seen[name]; repeated {
+				problems.addf(join(path, name), "repeated")
+			}
+			seen[name] = struct{}{}
+			findRepeats(problems, v.Members[i].Value.Value, join(path, name))
+		}
+	case *hujson.Array:
+		for i := range v.Elements {
+			findRepeats(problems, v.Elements[i].Value, path)
+		}
+	}
+}
+
+func asProblems(err error) Problems {
+	if p, ok := err.(Problems); ok {
+		return p
+	}
+	return Problems{{"", err.Error()}}
+}
+
+// CreatePatch returns the merge patch that turns one section or root, in standard
+// JSON, into another.
+func CreatePatch(from, to []byte) ([]byte, error) { return jsonpatch.CreateMergePatch(from, to) }
+
+// ServiceSection returns the section that defines a service.
+func (d *Document) ServiceSection(name fleet.Service) (string, bool) {
+	for _, section := range slices.Sorted(maps.Keys(d.Sections)) {
+		if _, ok := d.Sections[section].Services[name]; ok {
+			return section, true
+		}
+	}
+	return "", false
+}
--- a/pkg/document/types.go
+++ b/pkg/document/types.go
@@ -111,7 +111,11 @@
 	Doc      *Document
 	Revision uint64 // number of accepted edits
 
-	services map[fleet.Service]Service
+	services   map[fleet.Service]Service
+	routes     routeTable
+	workspaces []map[string]Workspace // one of each section; names are unique over all
+	root       Root
+	regions    []fleet.Region
 }
 
 // RouteMatch is a route found for a request.
--- /dev/null
+++ b/pkg/standin/vmlist.go
@@ -0,0 +1,212 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/platform"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+)
+
+// ListControl switches the faults of a VMList.
+type ListControl struct {
+	Outage bool  `json:"outage"`
+	LagMS  int64 `json:"lag_ms"` // age of the list that readers see, in milliseconds
+}
+
+// VMList is a simulated list of VMs and backend servers. It is a platform.Lister for
+// use within a process and serves the same over HTTP. Readers see each change only
+// after the lag. It is safe for concurrent use.
+type VMList struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	control  ListControl
+	vms      map[fleet.VMID]fleet.VM
+	servers  map[fleet.ServerID]fleet.Server
+	versions []listVersion // oldest first; the last is current
+}
+
+// maxVersions bounds the past lists that a lagging reader can see.
+const maxVersions = 1024
+
+type listVersion struct {
+	at  time.Time
+	dir *fleet.Directory
+}
+
+// NewVMList returns an empty list of generation 1. A nil now is time.Now.
+func NewVMList(control ListControl, now func() time.Time) *VMList {
+	if now == nil {
+		now = time.Now
+	}
+	l := &VMList{now: now, control: control, vms: make(map[fleet.VMID]fleet.VM), servers: make(map[fleet.ServerID]fleet.Server)}
+	l.versions = []listVersion{{time.Time{}, fleet.NewDirectory(1, nil, nil)}}
+	return l
+}
+
+// Control returns the faults in force.
+func (l *VMList) Control() ListControl {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.control
+}
+
+// SetControl puts faults into force.
+func (l *VMList) SetControl(c ListControl) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.control = c
+}
+
+// Change changes the list by a function over its rows, as one generation.
+func (l *VMList) Change(change func(vms map[fleet.VMID]fleet.VM, servers map[fleet.ServerID]fleet.Server)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l.vms, l.servers)
+	var vms []fleet.VM
+	for _, vm := range l.vms {
+		vms = append(vms, vm)
+	}
+	var servers []fleet.Server
+	for _, s := range l.servers {
+		servers = append(servers, s)
+	}
+	generation := l.versions[len(l.versions)-1].dir.Generation + 1
+	l.versions = append(l.versions, listVersion{l.now(), fleet.NewDirectory(generation, vms, servers)})
+	if len(l.versions) > maxVersions {
+		l.versions = slices.Delete(l.versions, 0, len(l.versions)-maxVersions)
+	}
+}
+
+// PutVM adds or replaces a VM.
+func (l *VMList) PutVM(vm fleet.VM) {
+	l.Change(func(vms map[fleet.VMID]fleet.VM, _ map[fleet.ServerID]fleet.Server) { vms[vm.ID] = vm })
+}
+
+// RemoveVM removes a VM.
+func (l *VMList) RemoveVM(id fleet.VMID) {
+	l.Change(func(vms map[fleet.VMID]fleet.VM, _ map[fleet.ServerID]fleet.Server) { delete(vms, id) })
+}
+
+// PutServer adds or replaces a backend server.
+func (l *VMList) PutServer(s fleet.Server) {
+	l.Change(func(_ map[fleet.VMID]fleet.VM, servers map[fleet.ServerID]fleet.Server) { servers[s.ID] = s })
+}
+
+// RemoveServer removes a backend server.
+func (l *VMList) RemoveServer(id fleet.ServerID) {
+	l.Change(func(_ map[fleet.VMID]fleet.VM, servers map[fleet.ServerID]fleet.Server) { delete(servers, id) })
+}
+
+// List returns the list as it was the lag ago.
+func (l *VMList) List(ctx context.Context) (*fleet.Directory, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.control.Outage {
+		return nil, errAway()
+	}
+	seen := l.now().Add(-time.Duration(l.control.LagMS) * time.Millisecond)
+	i := len(l.versions) - 1
+	for i > 0 && l.versions[i].at.After(seen) {
+		i--
+	}
+	return l.versions[i].dir, ctx.Err()
+}
+
+// Handler serves the API of package platform, and the controls: GET and POST of
+// ListControl at /control, PUT of a VMRow at /control/vms, PUT of a ServerRow at
+// /control/servers, DELETE at /control/vms/{id} and /control/servers/{id}.
+func (l *VMList) Handler() http.Handler {
+	e := newEcho()
+	e.GET("/v1/vms", func(c echo.Context) error {
+		dir, err := l.List(c.Request().Context())
+		if err != nil {
+			return serveError(c, err)
+		}
+		return c.JSON(http.StatusOK, platform.NewListAnswer(dir))
+	})
+	e.GET("/control", func(c echo.Context) error { return c.JSON(http.StatusOK, l.Control()) })
+	e.POST("/control", func(c echo.Context) error {
+		control := l.Control()
+		if err := c.Bind(&control); err != nil {
+			return err
+		}
+		l.SetControl(control)
+		return c.JSON(http.StatusOK, control)
+	})
+	e.PUT("/control/vms", func(c echo.Context) error { return l.servePut(c, new(platform.VMRow), nil) })
+	e.PUT("/control/servers", func(c echo.Context) error { return l.servePut(c, nil, new(platform.ServerRow)) })
+	e.DELETE("/control/vms/:id", func(c echo.Context) error {
+		l.RemoveVM(fleet.VMID(c.Param("id")))
+		return c.NoContent(http.StatusOK)
+	})
+	e.DELETE("/control/servers/:id", func(c echo.Context) error {
+		l.RemoveServer(fleet.ServerID(c.Param("id")))
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
+
+// servePut puts the VM or the server of the body.
+func (l *VMList) servePut(c echo.Context, vm *platform.VMRow, server *platform.ServerRow) error {
+	var answer platform.ListAnswer
+	var row any = vm
+	if vm == nil {
+		row = server
+	}
+	if err := c.Bind(row); err != nil {
+		return err
+	}
+	if vm != nil {
+		answer.VMs = []platform.VMRow{*vm}
+	} else {
+		answer.Servers = []platform.ServerRow{*server}
+	}
+	dir, err := answer.Directory()
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	for _, v := range dir.VMs {
+		l.PutVM(v)
+	}
+	for _, s := range dir.Servers {
+		l.PutServer(s)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+func newEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner = true
+	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
+			return next(c)
+		}
+	})
+	return e
+}
+
+// serveError answers with the status of the error's code.
+func serveError(c echo.Context, err error) error {
+	code := result.Internal
+	if e, ok := err.(*result.Error); ok {
+		code = e.Code
+	}
+	return c.JSON(code.Info().HTTP, map[string]string{"error": err.Error()})
+}
+
+// Rows returns the current rows, without lag, sorted by id.
+func (l *VMList) Rows() ([]fleet.VM, []fleet.Server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	dir := l.versions[len(l.versions)-1].dir
+	return slices.Clone(dir.VMs), slices.Clone(dir.Servers)
+}
