--- /dev/null
+++ b/pkg/keys/keys.go
@@ -0,0 +1,296 @@
+package keys
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+	"github.com/fulmarbeam/fulmarbeam/pkg/shard"
+)
+
+// EventKeys is the kind of all events of this package.
+const EventKeys fleet.EventKind = "keys"
+
+// Times and defaults.
+const (
+	DispatchLimit    = 2 * time.Second // from the reserve to the first byte
+	DefaultRetry     = 100 * time.Millisecond
+	DefaultRetention = 10 * time.Minute
+	DefaultSlices    = 64
+	maxKeyBytes      = 255
+)
+
+// OpenState says what the configuration log tells about a key shard.
+type OpenState uint8
+
+// Open states. OpenedByMe means that this process's opened record was read back and
+// is the first for the shard.
+const (
+	OpenUnknown OpenState = iota
+	OpenNever
+	OpenedByMe
+	OpenedBefore
+)
+
+// Config describes this process.
+type Config struct {
+	Self       fleet.Member
+	Region     fleet.Region
+	Authority  shard.Authority
+	Membership shard.Membership
+	Opened     func(shard.ID) OpenState
+	Retry      time.Duration // interval of repeats
+	// WallClock enables the admission of UUIDv7 keys made after a claim with lost
+	// history. It trusts callers' clocks to within 5 s; nil disables it.
+	WallClock func(fleet.Time) time.Time
+}
+
+// Keys reserves keys for requests of this VM and keeps the records of key shards
+// that this VM is a member of. It is not safe for concurrent use.
+type Keys struct {
+	cfg       Config
+	now       fleet.Time
+	index     *document.Index
+	dir       *fleet.Directory
+	retention time.Duration
+	slices    int
+
+	tables   map[shard.ID]*table
+	running  map[fleet.Member]map[*record]*table // running records by caller
+	expiries expiryQueue
+
+	number    uint64 // of the last attempt
+	requests  map[ReserveID]*request
+	byAttempt map[uint64]*request
+	waiting   []*request // undecided, in order of arrival
+	endings   []*ending
+	byEnding  map[uint64]*ending
+
+	queues    map[fleet.VMID]*peerQueue
+	decisions []Decision
+	opens     []shard.ID
+	events    []fleet.Event
+}
+
+var _ shard.Replica = (*Keys)(nil)
+
+// New returns Keys without document; it refuses requests before SetDocument.
+func New(cfg Config) *Keys {
+	cfg.Retry = cmp.Or(cfg.Retry, DefaultRetry)
+	return &Keys{
+		cfg: cfg, retention: DefaultRetention,
+		tables:    map[shard.ID]*table{},
+		running:   map[fleet.Member]map[*record]*table{},
+		requests:  map[ReserveID]*request{},
+		byAttempt: map[uint64]*request{},
+		byEnding:  map[uint64]*ending{},
+		queues:    map[fleet.VMID]*peerQueue{},
+	}
+}
+
+// SetDocument takes the document in force. The number of key shards never changes
+// after the first document.
+func (k *Keys) SetDocument(now fleet.Time, index *document.Index) {
+	k.now = max(k.now, now)
+	k.index = index
+	root := index.Doc.Root
+	k.retention = cmp.Or(time.Duration(root.KeyRetention), DefaultRetention)
+	if k.slices == 0 {
+		k.slices = cmp.Or(root.KeySlices, DefaultSlices)
+	}
+}
+
+// SetDirectory takes a newer reading of the platform's list.
+func (k *Keys) SetDirectory(now fleet.Time, dir *fleet.Directory) {
+	k.now = max(k.now, now)
+	if k.dir == nil || dir.Generation > k.dir.Generation {
+		k.dir = dir
+	}
+}
+
+func (k *Keys) listed(vm fleet.VMID) bool {
+	if k.dir == nil {
+		return false
+	}
+	_, ok := k.dir.VM(vm)
+	return ok
+}
+
+// Shards returns the key shards of a region, for shard.Manager.Want. It is empty
+// before the first document.
+func (k *Keys) Shards(region fleet.Region) []shard.ID {
+	ids := make([]shard.ID, k.slices)
+	for i := range ids {
+		ids[i] = shard.KeyShard(region, i)
+	}
+	return ids
+}
+
+// shardOf returns the key shard of a scope: in the workspace's home region, or in a
+// region chosen by hash for a workspace that the document does not name.
+func (k *Keys) shardOf(workspace string, scope Scope) (shard.ID, bool) {
+	if k.index == nil {
+		return shard.ID{}, false
+	}
+	hash := xxhash.Sum64String(scope.Workspace + "\x00" + string(scope.Service) + "\x00" + scope.Key)
+	region, ok := k.home(workspace)
+	if !ok {
+		regions := k.index.Doc.Root.Regions
+		if len(regions) == 0 {
+			return shard.ID{}, false
+		}
+		region = regions[(hash>>32)%uint64(len(regions))]
+	}
+	return shard.KeyShard(region, int(hash%uint64(k.slices))), true
+}
+
+func (k *Keys) home(workspace string) (fleet.Region, bool) {
+	if workspace == "" {
+		return "", false
+	}
+	for _, name := range slices.Sorted(maps.Keys(k.index.Doc.Sections)) {
+		if w, ok := k.index.Doc.Sections[name].Workspaces[workspace]; ok && w.Home != "" {
+			return w.Home, true
+		}
+	}
+	return "", false
+}
+
+// Step handles a message from another VM.
+func (k *Keys) Step(now fleet.Time, from fleet.Member, message fleet.Message) {
+	k.now = max(k.now, now)
+	switch msg := message.(type) {
+	case *Reserves:
+		for _, r := range msg.Reserves {
+			k.onReserve(now, from, r)
+		}
+	case *Grants:
+		for _, g := range msg.Grants {
+			k.onGrant(now, from, g)
+		}
+	case *Ends:
+		for _, e := range msg.Ends {
+			k.onEnd(now, from, e)
+		}
+	case *Acks:
+		for _, a := range msg.Acks {
+			k.onAck(now, from, a)
+		}
+	}
+	k.deliverOwn(now)
+}
+
+// Tick runs timers.
+func (k *Keys) Tick(now fleet.Time) {
+	k.now = max(k.now, now)
+	k.markGone(now)
+	k.expire(now)
+	k.tickHistory(now)
+	k.tickRequests(now)
+	k.tickEndings(now)
+	k.deliverOwn(now)
+}
+
+// tickHistory asks for opened records before the first key arrives.
+func (k *Keys) tickHistory(now fleet.Time) {
+	for i := range k.slices {
+		t := k.tables[shard.KeyShard(k.cfg.Region, i)]
+		if t == nil || t.history != historyUnsure || t.imported != nil {
+			continue
+		}
+		if role, _ := k.cfg.Authority.Role(t.id); role == shard.RoleOwner {
+			k.learnHistory(now, t)
+		}
+	}
+}
+
+// deliverOwn handles messages that this VM sent to itself.
+func (k *Keys) deliverOwn(now fleet.Time) {
+	self := k.cfg.Self
+	for {
+		q := k.queues[self.VM]
+		if q == nil {
+			return
+		}
+		delete(k.queues, self.VM)
+		for _, r := range q.reserves {
+			k.onReserve(now, self, r)
+		}
+		for _, e := range q.ends {
+			k.onEnd(now, self, e)
+		}
+		for _, g := range q.grants {
+			k.onGrant(now, self, g)
+		}
+		for _, a := range q.acks {
+			k.onAck(now, self, a)
+		}
+	}
+}
+
+// Outbox returns the messages to send since the last call, batched per VM.
+func (k *Keys) Outbox() []fleet.Envelope {
+	if len(k.queues) == 0 {
+		return nil
+	}
+	var out []fleet.Envelope
+	for _, vm := range slices.Sorted(maps.Keys(k.queues)) {
+		q := k.queues[vm]
+		send := func(m fleet.Message) { out = append(out, fleet.Envelope{To: vm, Message: m}) }
+		batch(q.ends, func(e End) int { return itemOverhead + e.Scope.size() + e.Answer.size() },
+			func(e []End) { send(&Ends{e}) })
+		batch(q.reserves, func(r Reserve) int { return itemOverhead + r.Scope.size() },
+			func(r []Reserve) { send(&Reserves{r}) })
+		batch(q.grants, func(g Grant) int { return itemOverhead + g.Answer.size() },
+			func(g []Grant) { send(&Grants{g}) })
+		batch(q.acks, func(Ack) int { return itemOverhead }, func(a []Ack) { send(&Acks{a}) })
+	}
+	clear(k.queues)
+	return out
+}
+
+// Events returns what happened since the last call, for the journal.
+func (k *Keys) Events() []fleet.Event {
+	events := k.events
+	k.events = nil
+	return events
+}
+
+func (k *Keys) event(id shard.ID, reason string) {
+	k.events = append(k.events, fleet.Event{
+		Kind: EventKeys, Reason: reason, Detail: map[string]string{"shard": id.String()},
+	})
+}
+
+// Decisions returns the decisions since the last call.
+func (k *Keys) Decisions() []Decision {
+	decisions := k.decisions
+	k.decisions = nil
+	return decisions
+}
+
+// OpenRequests returns the key shards for which this process should append an opened
+// record to the configuration log since the last call. Requests repeat until Opened
+// answers otherwise.
+func (k *Keys) OpenRequests() []shard.ID {
+	opens := k.opens
+	k.opens = nil
+	return opens
+}
+
+// Unsettled returns how many reservations and ends still need their exchange with
+// the members; a shutdown waits for 0.
+func (k *Keys) Unsettled() int { return len(k.waiting) + len(k.endings) }
+
+func (k *Keys) decide(q *request, d Decision) {
+	d.Reserve = q.id
+	k.decisions = append(k.decisions, d)
+}
+
+func refuse(code result.Code) Decision { return Decision{Verdict: VerdictRefuse, Code: code} }
--- /dev/null
+++ b/pkg/keys/sim_test.go
@@ -0,0 +1,359 @@
+package keys
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+	"github.com/fulmarbeam/fulmarbeam/pkg/shard"
+	"github.com/fulmarbeam/fulmarbeam/pkg/wire"
+)
+
+// The simulator runs Managers and Keys of several VMs on one fake clock, over a
+// network that loses, delays, doubles and reorders frames, with lists and a
+// configuration log that each VM reads late.
+const (
+	simTick    = 25 * time.Millisecond
+	simListLag = 1500 * time.Millisecond // below shard.DefaultListSettle, as the platform must keep it
+	simRegion  = fleet.Region("r")
+	simRemote  = fleet.Region("s")
+)
+
+type simList struct {
+	at  time.Duration
+	dir *fleet.Directory
+}
+
+type simRun struct{ start, at time.Duration }
+
+type simRequest struct {
+	id       ReserveID
+	key      string
+	start    time.Duration
+	dispatch time.Duration // when the first byte would leave; 0 before the decision
+	by       fleet.Time
+	finishAt time.Duration
+	ran      bool
+	finish   FinishState
+}
+
+type simNode struct {
+	vm       fleet.VM
+	self     fleet.Member
+	manager  *shard.Manager
+	keys     *Keys
+	offset   time.Duration // of this process's clock
+	lag      time.Duration
+	paused   bool
+	leaving  bool
+	listAt   int
+	inbox    []func()
+	requests map[ReserveID]*simRequest
+}
+
+type simOpened struct {
+	id shard.ID
+	by fleet.Member
+	at time.Duration
+}
+
+type sim struct {
+	rng      *rand.Rand
+	now      time.Duration
+	nodes    []*simNode // live processes
+	vms      []fleet.VM
+	lists    []simList
+	flights  map[time.Duration][]func()
+	blocked  map[[2]fleet.VMID]bool
+	faulty   bool
+	storeUp  bool
+	opened   []simOpened
+	births   uint64
+	requests ReserveID
+	runs     map[string][]simRun
+	replies  map[result.Code]int
+	verdicts map[Verdict]int
+	problems []string
+	index    *document.Index
+}
+
+func newSim(seed uint64, vms int) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 7)), flights: map[time.Duration][]func(){},
+		blocked: map[[2]fleet.VMID]bool{}, runs: map[string][]simRun{}, storeUp: true,
+		replies: map[result.Code]int{}, verdicts: map[Verdict]int{},
+		index: &document.Index{Doc: &document.Document{
+			Root: document.Root{KeySlices: 2, Regions: []fleet.Region{simRegion}},
+		}},
+	}
+	for i := range vms {
+		s.vms = append(s.vms, fleet.VM{
+			ID: fleet.VMID(fmt.Sprintf("vm%d", i)), Region: simRegion,
+			Zone: fleet.Zone(fmt.Sprintf("z%d", i%2)), State: fleet.StateLive,
+		})
+	}
+	s.vms = append(s.vms, fleet.VM{ID: "far", Region: simRemote, Zone: "z9", State: fleet.StateLive})
+	s.publish()
+	for _, vm := range s.vms {
+		s.start(vm)
+	}
+	return s
+}
+
+func (s *sim) publish() {
+	s.lists = append(s.lists, simList{s.now, fleet.NewDirectory(uint64(len(s.lists)+1), s.vms, nil)})
+}
+
+func (s *sim) start(vm fleet.VM) *simNode {
+	s.births++
+	n := &simNode{
+		vm: vm, self: fleet.Member{VM: vm.ID, Incarnation: fleet.Incarnation(s.births)},
+		offset: time.Duration(s.rng.Int64N(int64(time.Hour))), listAt: -1,
+		lag: time.Duration(s.rng.Int64N(int64(simListLag))), requests: map[ReserveID]*simRequest{},
+	}
+	replicas := map[shard.Class]shard.Replica{}
+	n.manager = shard.New(shard.Config{Self: n.self, Region: vm.Region, Zone: vm.Zone, Replicas: replicas})
+	n.keys = New(Config{
+		Self: n.self, Region: vm.Region, Authority: n.manager, Membership: n.manager,
+		Opened: func(id shard.ID) OpenState { return s.readOpened(n, id) },
+	})
+	replicas[shard.ClassKeys] = n.keys
+	n.keys.SetDocument(s.clock(n), s.index)
+	if vm.Region == simRegion {
+		n.manager.Want(s.clock(n), n.keys.Shards(simRegion))
+	}
+	s.nodes = append(s.nodes, n)
+	for _, other := range s.nodes { // hellos of the links
+		if other != n {
+			s.hello(n, other)
+			s.hello(other, n)
+		}
+	}
+	return n
+}
+
+func (s *sim) hello(from, to *simNode) {
+	member := from.self
+	s.deliver(from.vm.ID, to.vm.ID, func(n *simNode) { n.manager.SawIncarnation(s.clock(n), member) })
+}
+
+func (s *sim) clock(n *simNode) fleet.Time { return fleet.Time(s.now + n.offset) }
+
+func (s *sim) readOpened(n *simNode, id shard.ID) OpenState {
+	if !s.storeUp {
+		return OpenUnknown
+	}
+	for _, o := range s.opened {
+		switch {
+		case o.id != id || o.at > s.now-n.lag:
+		case o.by == n.self:
+			return OpenedByMe
+		default:
+			return OpenedBefore
+		}
+	}
+	return OpenNever
+}
+
+// deliver schedules f at the VM's process of that time, subject to faults.
+func (s *sim) deliver(from, to fleet.VMID, f func(*simNode)) {
+	copies := 1
+	if s.faulty {
+		if s.blocked[[2]fleet.VMID{from, to}] || s.rng.IntN(10) == 0 {
+			return
+		}
+		copies += s.rng.IntN(10) / 9
+	}
+	for range copies {
+		delay := simTick
+		if s.faulty {
+			delay += time.Duration(s.rng.IntN(4)) * simTick
+			if s.rng.IntN(20) == 0 {
+				delay += time.Duration(s.rng.IntN(400)) * simTick
+			}
+		}
+		s.flights[s.now+delay] = append(s.flights[s.now+delay], func() {
+			if i := slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.vm.ID == to }); i >= 0 {
+				n := s.nodes[i]
+				n.inbox = append(n.inbox, func() { f(n) })
+			}
+		})
+	}
+}
+
+func (s *sim) send(n *simNode, envelopes []fleet.Envelope) {
+	for _, e := range envelopes {
+		frame, err := wire.Encode(e.Message)
+		if err != nil {
+			s.problems = append(s.problems, err.Error())
+			continue
+		}
+		from := n.self
+		s.deliver(n.vm.ID, e.To, func(to *simNode) {
+			message, err := wire.Decode(frame)
+			if err != nil {
+				s.problems = append(s.problems, err.Error())
+				return
+			}
+			to.manager.Step(s.clock(to), from, message)
+			to.keys.Step(s.clock(to), from, message)
+		})
+	}
+}
+
+// advance runs the simulation for d.
+func (s *sim) advance(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now += simTick
+		flights := s.flights[s.now]
+		delete(s.flights, s.now)
+		for _, f := range flights {
+			f()
+		}
+		for _, n := range slices.Clone(s.nodes) {
+			if !n.paused {
+				s.run(n)
+			}
+		}
+		s.checkOwners()
+	}
+}
+
+func (s *sim) run(n *simNode) {
+	now := s.clock(n)
+	for i := n.listAt + 1; i < len(s.lists) && s.lists[i].at <= s.now-n.lag || i == 0; i++ {
+		n.listAt = i
+		n.manager.SetDirectory(now, s.lists[i].dir)
+		n.keys.SetDirectory(now, s.lists[i].dir)
+	}
+	inbox := n.inbox
+	n.inbox = nil
+	for _, f := range inbox {
+		f()
+	}
+	n.manager.Tick(now)
+	n.keys.Tick(now)
+	s.serve(n)
+	for _, id := range n.keys.OpenRequests() {
+		if s.storeUp {
+			s.opened = append(s.opened, simOpened{id, n.self, s.now + time.Duration(s.rng.IntN(40))*simTick})
+			slices.SortStableFunc(s.opened, func(a, b simOpened) int { return int(a.at - b.at) })
+		}
+	}
+	s.send(n, n.manager.Outbox())
+	s.send(n, n.keys.Outbox())
+	if n.leaving && n.manager.Resigned() && n.keys.Unsettled() == 0 && len(n.requests) == 0 {
+		s.kill(n)
+	}
+}
+
+// serve plays the proxy: it dispatches decided requests and finishes them.
+func (s *sim) serve(n *simNode) {
+	for _, d := range n.keys.Decisions() {
+		s.decided(n, n.requests[d.Reserve], d)
+	}
+	ids := make([]ReserveID, 0, len(n.requests))
+	for id := range n.requests {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		q := n.requests[id]
+		switch {
+		case q.dispatch == 0:
+		case !q.ran && s.now >= q.dispatch:
+			if s.clock(n) >= q.by || q.finish == FinishNotRun {
+				n.keys.Finish(s.clock(n), q.id, FinishNotRun, nil)
+				delete(n.requests, id)
+				continue
+			}
+			q.ran = true
+			s.runs[q.key] = append(s.runs[q.key], simRun{q.start, s.now})
+			if len(s.runs[q.key]) > 1 {
+				s.problems = append(s.problems, fmt.Sprintf("key %s ran %d times: %v, last by %s", q.key, len(s.runs[q.key]), s.runs[q.key], n.self))
+			}
+		case q.ran && s.now >= q.finishAt:
+			n.keys.Finish(s.clock(n), q.id, q.finish, &Answer{Status: 200, Body: []byte(q.key)})
+			delete(n.requests, id)
+		}
+	}
+}
+
+func (s *sim) decided(n *simNode, q *simRequest, d Decision) {
+	s.verdicts[d.Verdict]++
+	switch d.Verdict {
+	case VerdictRun:
+		q.by = d.DispatchBy
+		q.dispatch = s.now + time.Duration(s.rng.IntN(4))*simTick
+		q.finishAt = q.dispatch + time.Duration(1+s.rng.IntN(40))*simTick
+		return
+	case VerdictReplay:
+		if len(s.runs[q.key]) == 0 || string(d.Answer.Body) != q.key {
+			s.problems = append(s.problems, "replay of a key that did not run: "+q.key)
+		}
+	case VerdictRefuse:
+		s.replies[d.Code]++
+		if d.Code.Info().Outcome == result.OutcomeNotRun {
+			for _, r := range s.runs[q.key] {
+				if r.at < q.start {
+					s.problems = append(s.problems, fmt.Sprintf("told %s but key %s had run", d.Code, q.key))
+				}
+			}
+		}
+	}
+	delete(n.requests, d.Reserve)
+}
+
+// reserve starts a request; finish is how it will end.
+func (s *sim) reserve(n *simNode, key string, finish FinishState, patience time.Duration) *simRequest {
+	s.requests++
+	q := &simRequest{id: s.requests, key: key, start: s.now, finish: finish}
+	n.requests[q.id] = q
+	scope := Scope{Workspace: "w", Service: "pay", Key: key}
+	n.keys.Reserve(s.clock(n), q.id, "w", scope, 1, s.clock(n).Add(patience))
+	return q
+}
+
+func (s *sim) kill(n *simNode) {
+	s.nodes = slices.DeleteFunc(s.nodes, func(o *simNode) bool { return o == n })
+}
+
+// replace ends a VM for good; the list drops it and holds a new VM.
+func (s *sim) replace(n *simNode) {
+	s.kill(n)
+	s.vms = slices.DeleteFunc(slices.Clone(s.vms), func(vm fleet.VM) bool { return vm.ID == n.vm.ID })
+	vm := n.vm
+	vm.ID = fleet.VMID(fmt.Sprintf("vm-n%d", s.births))
+	s.vms = append(s.vms, vm)
+	s.publish()
+	s.start(vm)
+}
+
+// restartMissing starts a process on each VM that has none.
+func (s *sim) restartMissing() {
+	for _, vm := range s.vms {
+		if !slices.ContainsFunc(s.nodes, func(n *simNode) bool { return n.vm.ID == vm.ID }) {
+			s.start(vm)
+		}
+	}
+}
+
+// checkOwners guards against two processes that act as owner of a shard.
+func (s *sim) checkOwners() {
+	for slice := range 2 {
+		id := shard.KeyShard(simRegion, slice)
+		var owners []string
+		for _, n := range s.nodes {
+			if role, version := n.manager.Role(id); role == shard.RoleOwner {
+				owners = append(owners, fmt.Sprintf("%s@%d", n.self, version))
+			}
+		}
+		if len(owners) > 1 {
+			s.problems = append(s.problems, fmt.Sprintf("%s has owners %v", id, owners))
+		}
+	}
+}
--- /dev/null
+++ b/pkg/keys/table.go
@@ -0,0 +1,313 @@
+package keys
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/shard"
+)
+
+// Bounds of the table of one key shard at one member.
+const (
+	MaxRecords      = 4096
+	MaxTableBytes   = 8 << 20
+	MaxAnswerBytes  = 16 << 10 // larger answers are not kept
+	recordOverhead  = 200      // bytes of a record besides strings and answer
+	tombstoneBytes  = 100
+	maxScopeBytes   = 1024 // workspace, service and key together
+	maxHeaderValues = 100
+)
+
+type recordState uint8
+
+const (
+	recordRunning recordState = iota + 1
+	recordDone
+	recordUnknown
+)
+
+// record is the state of one key.
+type record struct {
+	scope       Scope
+	attempt     Attempt
+	fingerprint uint64
+	state       recordState
+	answer      *Answer
+	changed     fleet.Time // when this member applied the last change
+}
+
+type history uint8
+
+const (
+	historyUnsure history = iota // the configuration log has not told yet
+	historyWhole                 // an absent key has not run within the retention
+	historyLost                  // an absent key may have run, until lostAt plus retention
+)
+
+// table holds the records of one key shard.
+type table struct {
+	id      shard.ID
+	records map[Scope]*record
+	// released holds ended attempts that left no record, so that a Reserve that
+	// arrives after its release cannot create a record that nobody ends.
+	released map[Attempt]fleet.Time
+	bytes    int
+	history  history
+	lostAt   fleet.Time
+	askOpen  fleet.Time  // next time to request an opened record
+	imported *savedTable // ages to turn into instants when the role is known
+	asked    bool        // this process requested the opened record
+}
+
+func newTable(id shard.ID) *table {
+	return &table{id: id, records: map[Scope]*record{}, released: map[Attempt]fleet.Time{}}
+}
+
+func (t *table) full(bytes int) bool {
+	return len(t.records)+len(t.released) >= MaxRecords || t.bytes+bytes > MaxTableBytes
+}
+
+func (s Scope) size() int { return len(s.Workspace) + len(s.Service) + len(s.Key) }
+
+func (a *Answer) size() int {
+	if a == nil {
+		return 0
+	}
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v) + 16
+		}
+	}
+	return n
+}
+
+func (r *record) size() int { return recordOverhead + r.scope.size() + r.answer.size() }
+
+func (k *Keys) insert(t *table, r *record) {
+	t.records[r.scope] = r
+	t.bytes += r.size()
+	k.track(t, r)
+}
+
+// track files a running record under its caller, and any other for expiry.
+func (k *Keys) track(t *table, r *record) {
+	if r.state != recordRunning {
+		k.expiries.push(expiry{table: t, scope: r.scope, attempt: r.attempt, at: r.changed})
+		return
+	}
+	running := k.running[r.attempt.Caller]
+	if running == nil {
+		running = map[*record]*table{}
+		k.running[r.attempt.Caller] = running
+	}
+	running[r] = t
+}
+
+func (k *Keys) untrack(r *record) {
+	running := k.running[r.attempt.Caller]
+	delete(running, r)
+	if len(running) == 0 {
+		delete(k.running, r.attempt.Caller)
+	}
+}
+
+func (k *Keys) remove(t *table, r *record) {
+	delete(t.records, r.scope)
+	t.bytes -= r.size()
+	k.untrack(r)
+}
+
+// change moves a record to a final state. An answer that does not fit is dropped.
+func (k *Keys) change(now fleet.Time, t *table, r *record, state recordState, answer *Answer) {
+	k.untrack(r)
+	t.bytes -= r.size()
+	r.state, r.answer, r.changed = state, answer, now
+	if answer.size() > MaxAnswerBytes || t.bytes+r.size() > MaxTableBytes {
+		r.answer = nil
+	}
+	t.bytes += r.size()
+	k.track(t, r)
+}
+
+func (k *Keys) bury(now fleet.Time, t *table, a Attempt) {
+	if _, known := t.released[a]; !known {
+		t.released[a] = now
+		t.bytes += tombstoneBytes
+		k.expiries.push(expiry{table: t, attempt: a, at: now, tombstone: true})
+	}
+}
+
+// expiry is a record or released attempt that leaves at at plus the retention.
+type expiry struct {
+	table     *table
+	scope     Scope
+	attempt   Attempt
+	at        fleet.Time
+	tombstone bool
+}
+
+// expiryQueue is in order of at, apart from imported entries, which may wait longer.
+type expiryQueue struct {
+	items []expiry
+	head  int
+}
+
+func (q *expiryQueue) push(e expiry) { q.items = append(q.items, e) }
+
+func (q *expiryQueue) popBefore(limit fleet.Time) (expiry, bool) {
+	if q.head == len(q.items) || q.items[q.head].at > limit {
+		return expiry{}, false
+	}
+	e := q.items[q.head]
+	q.items[q.head] = expiry{}
+	q.head++
+	if q.head > 1024 && q.head*2 > len(q.items) {
+		q.items = slices.Delete(q.items, 0, q.head)
+		q.head = 0
+	}
+	return e, true
+}
+
+func (k *Keys) expire(now fleet.Time) {
+	limit := now.Add(-k.retention)
+	for {
+		e, ok := k.expiries.popBefore(limit)
+		if !ok {
+			return
+		}
+		if k.tables[e.table.id] != e.table {
+			continue
+		}
+		if e.tombstone {
+			if at, known := e.table.released[e.attempt]; known && at == e.at {
+				delete(e.table.released, e.attempt)
+				e.table.bytes -= tombstoneBytes
+			}
+			continue
+		}
+		r := e.table.records[e.scope]
+		if r != nil && r.attempt == e.attempt && r.changed == e.at && r.state != recordRunning {
+			k.remove(e.table, r)
+		}
+	}
+}
+
+// savedTable is the transfer form of a table. Ages replace instants, because
+// processes have no common clock.
+type savedTable struct {
+	Records  []savedRecord  `msgpack:"r"`
+	Released []savedRelease `msgpack:"t"`
+	Lost     bool           `msgpack:"l"`
+	LostAge  time.Duration  `msgpack:"a"`
+}
+
+type savedRecord struct {
+	Scope       Scope         `msgpack:"s"`
+	Attempt     Attempt       `msgpack:"a"`
+	Fingerprint uint64        `msgpack:"f"`
+	State       recordState   `msgpack:"e"`
+	Answer      *Answer       `msgpack:"w,omitempty"`
+	Age         time.Duration `msgpack:"d"`
+}
+
+type savedRelease struct {
+	Attempt Attempt       `msgpack:"a"`
+	Age     time.Duration `msgpack:"d"`
+}
+
+// Export implements shard.Replica. Ages are as of the last call that told the time,
+// so that a lag makes them smaller and records stay longer.
+func (k *Keys) Export(id shard.ID) ([]byte, error) {
+	t := k.tables[id]
+	if t == nil || t.history == historyUnsure {
+		return nil, shard.ErrNoHistory
+	}
+	saved := savedTable{Lost: t.history == historyLost, LostAge: k.now.Sub(t.lostAt)}
+	for _, r := range t.records {
+		saved.Records = append(saved.Records, savedRecord{
+			r.scope, r.attempt, r.fingerprint, r.state, r.answer, max(0, k.now.Sub(r.changed)),
+		})
+	}
+	for a, at := range t.released {
+		saved.Released = append(saved.Released, savedRelease{a, max(0, k.now.Sub(at))})
+	}
+	// Oldest first, so that the importer's expiry queue is in order.
+	slices.SortFunc(saved.Records, func(a, b savedRecord) int {
+		return cmp.Or(cmp.Compare(b.Age, a.Age), compareAttempts(a.Attempt, b.Attempt))
+	})
+	slices.SortFunc(saved.Released, func(a, b savedRelease) int {
+		return cmp.Or(cmp.Compare(b.Age, a.Age), compareAttempts(a.Attempt, b.Attempt))
+	})
+	return msgpack.Marshal(&saved)
+}
+
+func compareAttempts(a, b Attempt) int {
+	return cmp.Or(cmp.Compare(a.Caller.VM, b.Caller.VM),
+		cmp.Compare(a.Caller.Incarnation, b.Caller.Incarnation), cmp.Compare(a.Number, b.Number))
+}
+
+// Import implements shard.Replica. Instants are set by Changed, which tells the time.
+func (k *Keys) Import(id shard.ID, state []byte) error {
+	saved := &savedTable{}
+	if err := msgpack.Unmarshal(state, saved); err != nil {
+		return err
+	}
+	k.Dropped(id)
+	t := newTable(id)
+	t.imported = saved
+	k.tables[id] = t
+	return nil
+}
+
+func (k *Keys) finishImport(now fleet.Time, t *table) {
+	saved := t.imported
+	t.imported = nil
+	t.history = historyWhole
+	if saved.Lost {
+		t.history, t.lostAt = historyLost, now.Add(-saved.LostAge)
+	}
+	for _, s := range saved.Records {
+		k.insert(t, &record{s.Scope, s.Attempt, s.Fingerprint, s.State, s.Answer, now.Add(-s.Age)})
+	}
+	for _, s := range saved.Released {
+		k.bury(now.Add(-s.Age), t, s.Attempt)
+	}
+}
+
+// Lost implements shard.Replica.
+func (k *Keys) Lost(id shard.ID, now fleet.Time) {
+	k.Dropped(id)
+	t := newTable(id)
+	t.lostAt = now
+	k.tables[id] = t
+}
+
+// Changed implements shard.Replica.
+func (k *Keys) Changed(id shard.ID, now fleet.Time, role shard.Role, _ shard.View) {
+	k.now = max(k.now, now)
+	t := k.tables[id]
+	if t == nil || role == shard.RoleNone {
+		return
+	}
+	if t.imported != nil {
+		k.finishImport(now, t)
+	}
+}
+
+// Dropped implements shard.Replica.
+func (k *Keys) Dropped(id shard.ID) {
+	t := k.tables[id]
+	if t == nil {
+		return
+	}
+	for _, r := range t.records {
+		k.untrack(r)
+	}
+	delete(k.tables, id)
+}
--- /dev/null
+++ b/pkg/shard/outbox.go
@@ -0,0 +1,102 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+)
+
+// Bounds of one message. They keep frames far below wire.MaxFrameBytes, also with
+// long names.
+const (
+	maxBatchItems   = 1000
+	partBytes       = 256 << 10
+	maxPrepareBytes = 1 << 20
+	maxParts        = 256
+)
+
+// peerQueue collects what is sent to one VM until Outbox forms batches.
+type peerQueue struct {
+	views     []View
+	asks      []Claim
+	replies   []Reply
+	releases  []Claim
+	parts     []Part
+	prepared  []PreparedView
+	commits   []View
+	committed []View
+	resigns   []View
+	queries   []ID
+}
+
+func (m *Manager) to(vm fleet.VMID) *peerQueue {
+	q := m.queues[vm]
+	if q == nil {
+		q = &peerQueue{}
+		m.queues[vm] = q
+	}
+	return q
+}
+
+// Outbox returns the messages to send since the last call, batched per VM.
+func (m *Manager) Outbox() []fleet.Envelope {
+	if len(m.queues) == 0 {
+		return nil
+	}
+	var out []fleet.Envelope
+	for _, vm := range slices.Sorted(maps.Keys(m.queues)) {
+		if vm == m.cfg.Self.VM {
+			continue
+		}
+		q := m.queues[vm]
+		out = batch(out, vm, q.views, func(v []View) fleet.Message { return &Views{v} })
+		out = batch(out, vm, q.resigns, func(v []View) fleet.Message { return &Resign{v} })
+		out = batch(out, vm, q.commits, func(v []View) fleet.Message { return &Commit{v} })
+		out = batch(out, vm, q.committed, func(v []View) fleet.Message { return &Committed{v} })
+		out = batch(out, vm, q.prepared, func(v []PreparedView) fleet.Message { return &Prepared{v} })
+		out = batch(out, vm, q.releases, func(c []Claim) fleet.Message { return &Releases{c} })
+		out = batch(out, vm, q.asks, func(c []Claim) fleet.Message { return &Asks{c} })
+		out = batch(out, vm, q.replies, func(r []Reply) fleet.Message { return &Replies{r} })
+		out = batch(out, vm, q.queries, func(s []ID) fleet.Message { return &Query{s} })
+		out = batchParts(out, vm, q.parts)
+	}
+	clear(m.queues)
+	return out
+}
+
+func batch[T any](out []fleet.Envelope, vm fleet.VMID, items []T, message func([]T) fleet.Message) []fleet.Envelope {
+	for chunk := range slices.Chunk(items, maxBatchItems) {
+		out = append(out, fleet.Envelope{To: vm, Message: message(chunk)})
+	}
+	return out
+}
+
+func batchParts(out []fleet.Envelope, vm fleet.VMID, parts []Part) []fleet.Envelope {
+	for len(parts) > 0 {
+		n, bytes := 0, 0
+		for n < len(parts) && n < maxBatchItems && (n == 0 || bytes+len(parts[n].Data) <= maxPrepareBytes) {
+			bytes += len(parts[n].Data)
+			n++
+		}
+		out = append(out, fleet.Envelope{To: vm, Message: &Prepare{parts[:n:n]}})
+		parts = parts[n:]
+	}
+	return out
+}
+
+// Events returns what happened since the last call, for the journal.
+func (m *Manager) Events() []fleet.Event {
+	events := m.events
+	m.events = nil
+	return events
+}
+
+func (m *Manager) event(r *row, reason string) {
+	m.events = append(m.events, fleet.Event{
+		Kind: EventShard, Service: r.id.Service, Reason: reason,
+		Detail: map[string]string{
+			"shard": r.name, "owner": r.known.Owner.String(), "copy": r.known.Copy.String(),
+		},
+	})
+}
--- a/pkg/shard/types.go
+++ b/pkg/shard/types.go
@@ -3,6 +3,7 @@
 package shard
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
@@ -80,3 +81,7 @@
 	// Dropped discards the state: this process is no longer a member.
 	Dropped(id ID)
 }
+
+// ErrNoHistory is returned by Replica.Export when the shard has admitted nothing
+// yet, so that its state must not be copied and need not be kept.
+var ErrNoHistory = errors.New("shard: no history to export yet")
