--- a/pkg/keys/caller.go
+++ b/pkg/keys/caller.go
@@ -8,6 +8,10 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/shard"
 )
 
+// quietTries is how many sends may stay without a decision before other VMs are
+// asked for a newer view: all members of the known one may be gone.
+const quietTries = 2
+
 // request is a reservation of this VM, from Reserve to Finish.
 type request struct {
 	id          ReserveID
@@ -26,6 +30,7 @@
 	retryAt   fleet.Time
 	sentAt    fleet.Time
 	last      GrantState // last answer that was no acceptance
+	tries     int        // sends since the last new view
 }
 
 // ending is an end on its way to the members.
@@ -36,6 +41,7 @@
 	retryAt   fleet.Time
 	forgetAt  fleet.Time
 	forgotten bool
+	tries     int // sends since the last new view
 }
 
 // Reserve asks for the right to run a request once. The outcome comes from Decisions.
@@ -78,7 +84,10 @@
 		return
 	}
 	if view != q.view {
-		q.view, q.owner, q.copied = view, false, false
+		q.view, q.owner, q.copied, q.tries = view, false, false, 0
+	}
+	if q.tries++; q.tries > quietTries {
+		k.cfg.Membership.Resolve(now, q.shard)
 	}
 	q.sentAt = now
 	reserve := Reserve{View: view, Scope: q.scope, Attempt: k.attempt(q.number), Fingerprint: q.fingerprint}
@@ -220,7 +229,10 @@
 func (k *Keys) pushEnding(now fleet.Time, e *ending) {
 	e.retryAt = now.Add(k.cfg.Retry)
 	if view, ok := k.cfg.Authority.View(e.end.View.Shard); ok && view != e.end.View {
-		e.end.View, e.owner, e.copied = view, false, false
+		e.end.View, e.owner, e.copied, e.tries = view, false, false, 0
+	}
+	if e.tries++; e.tries > quietTries {
+		k.cfg.Membership.Resolve(now, e.end.View.Shard)
 	}
 	if !e.owner {
 		p := k.to(e.end.View.Owner.VM)
