proxy: add the request path between callers and servers

Cause: the fleet needs HTTP towards callers and backend servers with exact outcomes. Change: add Proxy with its flow from the form check to the answer, connections that prove whether a byte of a request left, whole answers, retries through the Engine, key reservations, drain, a framing guard for callers' connections, spans and metrics.

--- /dev/null
+++ b/pkg/proxy/attempt.go
@@ -0,0 +1,373 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"os"
+	"strconv"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+)
+
+// declinedBody is how much of a declined answer's body is read, in bytes.
+const declinedBody = 4 << 10
+
+// outcome is what one attempt, or the request as a whole, came to.
+type outcome struct {
+	code     result.Code // OK when ans holds an answer to pass on
+	detail   string
+	notRun   bool // proof that no server ran the work
+	declined bool // a server said that it did not run the work
+	again    bool // another server may do better
+	ans      *answer
+	end      pool.EndState
+	close    func() // ends the attempt on the wire and gives the slot back
+}
+
+func failed(code result.Code, end pool.EndState, format string, args ...any) *outcome {
+	return &outcome{code: code, end: end, detail: result.Errorf(code, format, args...).Detail}
+}
+
+func notRun(code result.Code, end pool.EndState, format string, args ...any) *outcome {
+	o := failed(code, end, format, args...)
+	o.notRun = true
+	return o
+}
+
+func (o *outcome) retryable() *outcome {
+	o.again = true
+	return o
+}
+
+// run dispatches the request, with repeats where they are allowed: on another
+// server, within the deadline and the budget, and only for idempotent work or after
+// proof of not run. The caller of run must pass the outcome to answer.
+func (x *exchange) run() *outcome {
+	base := x.ctx
+	if !x.route.Route.Idempotent {
+		base = context.WithoutCancel(base)
+	}
+	var tried []fleet.ServerID
+	var best *outcome
+	for try := 0; ; try++ {
+		d := x.acquire(try > 0, tried)
+		if d.Code != result.OK {
+			return better(best, notRun(d.Code, 0, "no slot at a server of %s", x.route.Route.Service))
+		}
+		out := x.attempt(base, d)
+		best = better(best, out)
+		if !x.mayRepeat(out, try) {
+			return best
+		}
+		if !x.p.engine.MayRetry(x.route.Route.Service) {
+			if best.declined {
+				best.code = result.RetryBudgetSpent
+			}
+			return best
+		}
+		tried = append(tried, d.Server.ID)
+	}
+}
+
+// better keeps what says most about the request over several attempts. An attempt
+// that may have run is never covered by a later proof of not run.
+func better(old, now *outcome) *outcome {
+	switch {
+	case old == nil:
+		return now
+	case now.ans != nil:
+		old.dispose()
+		return now
+	case old.ans != nil || !old.notRun && now.notRun:
+		return old
+	case old.declined && now.notRun:
+		return old
+	}
+	return now
+}
+
+// dispose drops an answer that is not passed on.
+func (o *outcome) dispose() {
+	if o.ans != nil && o.close != nil {
+		o.close()
+	}
+}
+
+func (x *exchange) mayRepeat(out *outcome, try int) bool {
+	switch {
+	case !out.again, !x.body.whole, x.left() <= 0, x.callerGone():
+		return false
+	case out.ans != nil && !out.ans.whole: // it is being streamed
+		return false
+	case try >= x.route.Route.Retries:
+		if out.declined {
+			out.code = result.ServersDeclined
+		}
+		return false
+	}
+	return out.notRun || x.route.Route.Idempotent
+}
+
+// acquire waits for a slot at a server.
+func (x *exchange) acquire(repeat bool, tried []fleet.ServerID) pool.Decision {
+	ctx, span := x.p.tracer.Start(x.ctx, "queue")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, x.left())
+	defer cancel()
+	d := x.p.engine.Acquire(ctx, pool.Work{
+		ID:         x.p.engine.NextWork(),
+		Service:    x.route.Route.Service,
+		Route:      x.route.Name,
+		Length:     x.route.Route.Length,
+		Weight:     x.weight,
+		Deadline:   x.deadline,
+		Idempotent: x.route.Route.Idempotent,
+		IsRetry:    repeat,
+		Exclude:    tried,
+	})
+	if d.Code == result.CallerGone && !x.callerGone() {
+		d.Code = result.DeadlineInQueue
+	}
+	x.p.metrics.wait.Update(d.Queued.Seconds())
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("fulmar.server", string(d.Server.ID)), attribute.Int("fulmar.code", int(d.Code)))
+	}
+	return d
+}
+
+// attempt runs the request once on the server of d. The slot is given back before
+// it returns, except for an answer that is still being streamed: then close does it.
+func (x *exchange) attempt(base context.Context, d pool.Decision) *outcome {
+	start := x.p.engine.Now()
+	ctx, span := x.p.tracer.Start(base, "attempt", trace.WithSpanKind(trace.SpanKindClient))
+	ctx, cancel := context.WithTimeout(ctx, x.left())
+	rt, unuse := x.p.transports.get(d.Server)
+
+	out := &outcome{}
+	closed := false
+	finish := func() {
+		if closed {
+			return
+		}
+		closed = true
+		cancel()
+		x.body.abandon()
+		unuse()
+		x.p.engine.Release(d.Work, pool.End{State: out.end, Duration: x.p.engine.Now().Sub(start)})
+		x.p.metrics.attempt(x.route.Route.Service, out.end)
+		if span.IsRecording() {
+			span.SetAttributes(attribute.String("fulmar.server", string(d.Server.ID)), attribute.String("fulmar.end", endName(out.end)))
+		}
+		span.End()
+	}
+	defer func() {
+		// A panic on the way must not keep the slot.
+		if out.ans == nil || out.ans.whole {
+			finish()
+		}
+	}()
+	out.end = pool.EndAbandoned
+	*out = *x.exchangeOnce(ctx, rt, d.Server)
+	out.close = finish
+	return out
+}
+
+// exchangeOnce sends the request and classifies what comes back. A reused connection
+// that turns out to be dead before the first byte is replaced within the attempt:
+// the server saw nothing.
+func (x *exchange) exchangeOnce(ctx context.Context, rt *http.Transport, s fleet.Server) *outcome {
+	for tries := 0; ; tries++ {
+		sentID := x.p.ids.attemptID(x.id)
+		f := &flight{mayStart: x.mayStart}
+		resp, err := rt.RoundTrip(x.request(ctx, f, s, sentID))
+		if err == nil {
+			return x.classify(ctx, f, resp, sentID)
+		}
+		started := f.seal()
+		refusal := f.refusal()
+		if !started && x.body.whole && tries <= x.p.limits.ConnsPerServer &&
+			(refusal == errServerHung || refusal == errStrayBytes) {
+			continue
+		}
+		if started {
+			return x.classifyLost(ctx, f, err)
+		}
+		return x.classifyUnsent(ctx, f, refusal, err)
+	}
+}
+
+// mayStart is the last check before the first byte of the request leaves.
+func (x *exchange) mayStart() error {
+	now := x.p.engine.Now()
+	if x.dispatchBy != 0 && now > x.dispatchBy {
+		return result.Errorf(result.DispatchTooLate, "the key's dispatch limit passed %s ago", now.Sub(x.dispatchBy))
+	}
+	if now > x.deadline {
+		return result.Errorf(result.DeadlineInQueue, "the deadline passed before dispatch")
+	}
+	return nil
+}
+
+// request builds the request to the server.
+func (x *exchange) request(ctx context.Context, f *flight, s fleet.Server, sentID string) *http.Request {
+	body, length := x.body.reader()
+	header := x.serverHeader(sentID)
+	injectTrace(header, func(c propagation.TextMapCarrier) { propagator.Inject(ctx, c) })
+	u := &url.URL{Scheme: "http", Host: s.Addr, Path: x.r.URL.Path, RawPath: x.r.URL.RawPath,
+		RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery}
+	req := &http.Request{
+		Method: x.r.Method, URL: u, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: header, Body: body, ContentLength: length,
+	}
+	if len(x.r.Trailer) > 0 && length != 0 {
+		// net/http fills the values of x.r.Trailer when it meets the body's end, which
+		// is before the transport writes them. Trailers need the chunked coding.
+		req.Trailer, req.ContentLength = x.r.Trailer, -1
+	}
+	return req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:              func(i httptrace.GotConnInfo) { f.gotConn(i.Conn, i.Reused) },
+		GotFirstResponseByte: f.firstResponseByte,
+		Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
+			x.out.informational(f, status, http.Header(h))
+			return nil
+		},
+	}))
+}
+
+// classifyUnsent classifies an attempt of which no byte left.
+func (x *exchange) classifyUnsent(ctx context.Context, f *flight, refusal, err error) *outcome {
+	var late *result.Error
+	switch {
+	case errors.As(refusal, &late):
+		return notRun(late.Code, pool.EndAbandoned, "%s", late.Detail)
+	case refusal == errStrayBytes:
+		return notRun(result.ServerUnreachable, pool.EndFailed, "%v", refusal).retryable()
+	case refusal != nil:
+		return notRun(result.ServerUnreachable, pool.EndAbandoned, "%v", refusal).retryable()
+	case x.callerGone():
+		return notRun(result.CallerGone, pool.EndAbandoned, "the caller left before dispatch")
+	case x.body.failure() != nil:
+		return notRun(x.bodyError(x.body.failure()).Code, pool.EndAbandoned, "body: %v", x.body.failure())
+	case ctx.Err() != nil:
+		return notRun(result.ServerUnreachable, pool.EndUnreachable, "no connection before the deadline")
+	}
+	return notRun(result.ServerUnreachable, pool.EndUnreachable, "%v", err).retryable()
+}
+
+// classifyLost classifies an attempt that failed after a byte left: the server may
+// have run it.
+func (x *exchange) classifyLost(ctx context.Context, f *flight, err error) *outcome {
+	var ne net.Error
+	switch {
+	case f.refusal() == errReplay:
+		x.p.metrics.replays.Inc()
+	case x.body.failure() != nil:
+		return failed(result.AnswerLost, pool.EndAbandoned, "the caller's body failed after dispatch: %v", x.body.failure())
+	}
+	if out := x.interrupted(ctx); out != nil {
+		return out
+	}
+	switch {
+	case f.stale.Load():
+		return x.crossed("bytes of another answer were on the connection")
+	case f.read.Load() == 0:
+		return failed(result.AnswerLost, pool.EndFailed, "%v", err).retryable()
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF), errors.As(err, &ne):
+		return failed(result.AnswerTruncated, pool.EndFailed, "%v", err).retryable()
+	}
+	return failed(result.AnswerMalformed, pool.EndFailed, "%v", err).retryable()
+}
+
+// interrupted returns the outcome of work that the caller or the deadline ended.
+func (x *exchange) interrupted(ctx context.Context) *outcome {
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case x.left() <= 0 || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return failed(result.DeadlinePassed, pool.EndTimeout, "no whole answer before the deadline")
+	}
+	return failed(result.CancelledRunning, pool.EndAbandoned, "the caller left")
+}
+
+func (x *exchange) crossed(why string) *outcome {
+	x.p.metrics.stale.Inc()
+	x.p.engine.Record(fleet.Event{Kind: "answer-crossed", Service: x.route.Route.Service, Request: x.id, Reason: why})
+	return failed(result.AnswerCrossed, pool.EndFailed, "%s", why).retryable()
+}
+
+// classify looks at an answer's head and, when its length is known and small, reads
+// it whole.
+func (x *exchange) classify(ctx context.Context, f *flight, resp *http.Response, sentID string) *outcome {
+	drop := func(o *outcome) *outcome {
+		f.distrust()
+		resp.Body.Close()
+		return o
+	}
+	decline := func(end pool.EndState, detail string) *outcome {
+		// Reading a short body to its end keeps the connection usable.
+		_, _ = io.CopyN(io.Discard, resp.Body, declinedBody)
+		resp.Body.Close()
+		o := notRun(result.ServersDeclined, end, "%s", detail).retryable()
+		o.declined = true
+		return o
+	}
+	if f.stale.Load() {
+		return drop(x.crossed("the answer was on the connection before the request"))
+	}
+	if echo := x.service.EchoHeader; echo != "" {
+		if v := resp.Header.Values(echo); len(v) != 1 || v[0] != sentID {
+			return drop(x.crossed("the echoed request id differs"))
+		}
+	}
+	switch {
+	case resp.StatusCode < 200:
+		return drop(failed(result.AnswerMalformed, pool.EndFailed, "unexpected status %d", resp.StatusCode))
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerShed) == "1":
+		return decline(pool.EndShed, "the server shed the request")
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerDeclined) != "":
+		return decline(pool.EndDraining, "the server declined the request")
+	}
+	a := newAnswer(x, resp)
+	if a.unbounded() && !x.service.CloseDelimited {
+		return drop(failed(result.AnswerUnbounded, pool.EndFailed, "the answer has neither length nor chunked coding"))
+	}
+	if out := x.gather(ctx, a); out != nil {
+		return drop(out)
+	}
+	return &outcome{code: result.OK, ans: a, end: a.end(), again: retryStatus(a.status)}
+}
+
+// retryStatus reports whether another server may answer better.
+func retryStatus(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+// truncated classifies an answer whose body failed.
+func (x *exchange) truncated(ctx context.Context, err error) *outcome {
+	if out := x.interrupted(ctx); out != nil {
+		return out
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return failed(result.DeadlinePassed, pool.EndTimeout, "%v", err)
+	}
+	return failed(result.AnswerTruncated, pool.EndFailed, "%v", err).retryable()
+}
+
+// contentLength formats a length for the header.
+func contentLength(n int64) []string { return []string{strconv.FormatInt(n, 10)} }
--- /dev/null
+++ b/pkg/proxy/server.go
@@ -0,0 +1,39 @@
+package proxy
+
+import (
+	"log"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/go-logr/logr"
+)
+
+// NewServer returns the http.Server towards callers, with the limits of the proxy:
+// HTTP/1.1 only, a bound and a time limit on headers, and idle keep-alive. Bodies
+// and answers have rolling limits, set by the handler.
+func (p *Proxy) NewServer() *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	return &http.Server{
+		Handler:                      p,
+		Protocols:                    &protocols,
+		ReadHeaderTimeout:            p.limits.HeaderTime,
+		IdleTimeout:                  p.limits.KeepAlive,
+		MaxHeaderBytes:               p.limits.HeaderBytes,
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     log.New(logWriter{p.log}, "", 0),
+	}
+}
+
+// Serve serves callers on l until the server is shut down. It wraps l with Listener.
+func (p *Proxy) Serve(s *http.Server, l net.Listener) error { return s.Serve(p.Listener(l)) }
+
+// logWriter passes net/http's log lines on.
+type logWriter struct{ log logr.Logger }
+
+// Write logs one line.
+func (w logWriter) Write(line []byte) (int, error) {
+	w.log.V(1).Info("http server", "message", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
