Check lost history at the copy, and report dropped shards

A resigning member that dropped a shard also kept others from claiming it until its process ended. Change: both members check the history; a member that drops a shard tells the region.

--- a/pkg/keys/caller.go
+++ b/pkg/keys/caller.go
@@ -176,7 +176,7 @@
 	case state == GrantFull && (isOwner || q.owner):
 		k.withdraw(now, q)
 		k.decide(q, refuse(result.KeyTableFull))
-	case state == GrantLost && isOwner:
+	case state == GrantLost:
 		k.withdraw(now, q)
 		k.decide(q, refuse(result.KeyHistoryLost))
 	case state == GrantRunning && isOwner && !q.behind:
--- a/pkg/keys/machine_test.go
+++ b/pkg/keys/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,7 +58,7 @@
 			n.paused = false
 		}
 	case action == "resign":
-		n.leaving = true
+		n.leaving, n.leaveAt = true, s.now
 		n.manager.Resign(s.clock(n))
 	case action == "partition":
 		other := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "other")]
@@ -82,12 +83,12 @@
 			act(t, s, rapid.SampledFrom(simActions).Draw(t, "action"))
 			s.advance(time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks")) * simTick)
 			if len(s.problems) > 0 {
-				t.Fatalf("at %v: %v", s.now, s.problems)
+				t.Fatalf("at %v: %v\n%s", s.now, s.problems, strings.Join(s.trace, "\n"))
 			}
 		}
 		s.recover()
 		if len(s.problems) > 0 {
-			t.Fatalf("after recovery: %v", s.problems)
+			t.Fatalf("after recovery: %v\n%s", s.problems, strings.Join(s.trace, "\n"))
 		}
 		for v, n := range s.verdicts {
 			totals[v] += n
@@ -147,7 +148,7 @@
 			}
 		}
 		if owners != 1 {
-			t.Fatalf("%s has %d owners after recovery", id, owners)
+			t.Fatalf("%s has %d owners after recovery: %s", id, owners, strings.Join(s.trace, "\n"))
 		}
 	}
 	before := s.verdicts[VerdictRun] + s.replies[result.KeyHistoryLost]
--- a/pkg/keys/member.go
+++ b/pkg/keys/member.go
@@ -56,7 +56,7 @@
 	if held := t.records[r.Scope]; held != nil {
 		return heldState(held, role, r, grant)
 	}
-	if state := k.absentState(now, t, role, r.Scope); state != GrantAccepted {
+	if state := k.absentState(now, t, r.Scope); state != GrantAccepted {
 		return state
 	}
 	added := &record{r.Scope, r.Attempt, r.Fingerprint, recordRunning, nil, now}
@@ -86,11 +86,9 @@
 }
 
 // absentState says whether the absence of a key proves that it has not run. The
-// copy leaves that verdict to the owner.
-func (k *Keys) absentState(now fleet.Time, t *table, role shard.Role, scope Scope) GrantState {
-	if role == shard.RoleCopy {
-		return GrantAccepted
-	}
+// copy checks this as the owner does: a record that it accepted stays valid when it
+// takes over, without another look at the history.
+func (k *Keys) absentState(now fleet.Time, t *table, scope Scope) GrantState {
 	if t.history == historyUnsure {
 		k.learnHistory(now, t)
 	}
--- a/pkg/keys/sim_test.go
+++ b/pkg/keys/sim_test.go
@@ -17,10 +17,11 @@
 // network that loses, delays, doubles and reorders frames, with lists and a
 // configuration log that each VM reads late.
 const (
-	simTick    = 25 * time.Millisecond
-	simListLag = 1500 * time.Millisecond // below shard.DefaultListSettle, as the platform must keep it
-	simRegion  = fleet.Region("r")
-	simRemote  = fleet.Region("s")
+	simTick         = 25 * time.Millisecond
+	simListLag      = 1500 * time.Millisecond // below shard.DefaultListSettle, as the platform must keep it
+	simDrainTimeout = 20 * time.Second        // a shutdown ends then in any case
+	simRegion       = fleet.Region("r")
+	simRemote       = fleet.Region("s")
 )
 
 type simList struct {
@@ -50,6 +51,7 @@
 	lag      time.Duration
 	paused   bool
 	leaving  bool
+	leaveAt  time.Duration
 	listAt   int
 	inbox    []func()
 	requests map[ReserveID]*simRequest
@@ -78,6 +80,7 @@
 	replies  map[result.Code]int
 	verdicts map[Verdict]int
 	problems []string
+	trace    []string // journal of all VMs, printed with a failure
 	index    *document.Index
 }
 
@@ -238,6 +241,9 @@
 	n.manager.Tick(now)
 	n.keys.Tick(now)
 	s.serve(n)
+	for _, e := range append(n.manager.Events(), n.keys.Events()...) {
+		s.trace = append(s.trace, fmt.Sprintf("%v %s: %s %v", s.now, n.self, e.Reason, e.Detail))
+	}
 	for _, id := range n.keys.OpenRequests() {
 		if s.storeUp {
 			s.opened = append(s.opened, simOpened{id, n.self, s.now + time.Duration(s.rng.IntN(40))*simTick})
@@ -246,7 +252,8 @@
 	}
 	s.send(n, n.manager.Outbox())
 	s.send(n, n.keys.Outbox())
-	if n.leaving && n.manager.Resigned() && n.keys.Unsettled() == 0 && len(n.requests) == 0 {
+	settled := n.manager.Resigned() && n.keys.Unsettled() == 0 && len(n.requests) == 0
+	if n.leaving && (settled || s.now-n.leaveAt > simDrainTimeout) {
 		s.kill(n)
 	}
 }
@@ -272,6 +279,7 @@
 				continue
 			}
 			q.ran = true
+			s.trace = append(s.trace, fmt.Sprintf("%v %s: ran %s, attempt %d", s.now, n.self, q.key, n.keys.requests[q.id].number))
 			s.runs[q.key] = append(s.runs[q.key], simRun{q.start, s.now})
 			if len(s.runs[q.key]) > 1 {
 				s.problems = append(s.problems, fmt.Sprintf("key %s ran %d times: %v, last by %s", q.key, len(s.runs[q.key]), s.runs[q.key], n.self))
--- a/pkg/shard/claim.go
+++ b/pkg/shard/claim.go
@@ -22,10 +22,10 @@
 // queryWidth is how many VMs, in rendezvous order, are asked for an unknown view.
 const queryWidth = 3
 
-// alive reports that the member may run as far as the list and hellos tell. It
+// alive reports that the member may hold the shard as far as is known here. It
 // guides claims only; safety rests on the promises.
-func (m *Manager) alive(member fleet.Member) bool {
-	return !member.IsZero() && m.Listed(member.VM) && !m.Gone(member)
+func (m *Manager) alive(r *row, member fleet.Member) bool {
+	return !member.IsZero() && m.Listed(member.VM) && !m.Gone(member) && !slices.Contains(r.left, member)
 }
 
 func (m *Manager) tickOutside(now fleet.Time, r *row) {
@@ -44,12 +44,12 @@
 		}
 		return
 	}
-	if m.alive(r.known.Owner) {
+	if m.alive(r, r.known.Owner) {
 		r.orphanAt = 0
 		return
 	}
 	m.query(now, r)
-	if m.alive(r.known.Copy) {
+	if m.alive(r, r.known.Copy) {
 		r.orphanAt = 0
 		return
 	}
--- a/pkg/shard/manager.go
+++ b/pkg/shard/manager.go
@@ -88,7 +88,8 @@
 
 	claim          *claim
 	attempts       uint64
-	orphanAt       fleet.Time // since when no member is known; zero if one is
+	orphanAt       fleet.Time     // since when no member is known; zero if one is
+	left           []fleet.Member // members of known that said that they hold it no more
 	promise        fleet.Member
 	promiseAttempt uint64
 	queryAt        fleet.Time
@@ -283,7 +284,7 @@
 
 // activate makes this process a member of an active view and announces it.
 func (m *Manager) activate(now fleet.Time, r *row, view View, reason string) {
-	r.view, r.known = view, view
+	r.view, r.known, r.left = view, view, nil
 	r.highest = max(r.highest, view.Version)
 	r.phase = phaseActive
 	r.prep = prepare{}
@@ -294,14 +295,8 @@
 	r.busy = true
 	m.replica(r.id).Changed(r.id, now, m.roleIn(view), view)
 	m.event(r, reason)
-	if view.Owner != m.cfg.Self {
-		return
-	}
-	for _, vm := range m.regionVMs {
-		if vm.ID != m.cfg.Self.VM {
-			q := m.to(vm.ID)
-			q.views = append(q.views, view)
-		}
+	if view.Owner == m.cfg.Self {
+		m.tellRegion(r.id)
 	}
 }
 
@@ -321,6 +316,9 @@
 	}
 	m.replica(r.id).Dropped(r.id)
 	m.event(r, reason)
+	if wasActive && m.roleIn(r.known) != RoleNone {
+		m.tellRegion(r.id)
+	}
 }
 
 // Observe implements Membership.
@@ -347,11 +345,11 @@
 		r.known = v
 		m.drop(now, r, reason)
 	}
-	r.known = v
+	r.known, r.left = v, nil
 	if r.promise == v.Owner {
 		r.promise = fleet.Member{}
 	}
-	if r.claim != nil && (m.alive(v.Owner) || m.alive(v.Copy)) {
+	if r.claim != nil && (m.alive(r, v.Owner) || m.alive(r, v.Copy)) {
 		m.giveUpClaim(now, r)
 	}
 }
@@ -364,6 +362,9 @@
 		for _, v := range msg.Views {
 			m.Observe(now, v)
 		}
+		for _, v := range msg.Left {
+			m.onLeft(now, from, v)
+		}
 	case *Query:
 		for _, id := range msg.Shards {
 			m.tell(from.VM, id)
@@ -405,11 +406,35 @@
 	}
 }
 
-// tell sends the newest known view of the shard, if any.
+// tell sends the newest known view of the shard, if any, and whether this process
+// has left it.
 func (m *Manager) tell(vm fleet.VMID, id ID) {
-	if v, ok := m.View(id); ok {
-		q := m.to(vm)
-		q.views = append(q.views, v)
+	r := m.rows[id]
+	if r == nil || r.known.Version == 0 {
+		return
+	}
+	q := m.to(vm)
+	q.views = append(q.views, r.known)
+	if r.phase == phaseNone && m.roleIn(r.known) != RoleNone {
+		q.left = append(q.left, r.known)
+	}
+}
+
+// onLeft notes that a running process has dropped a shard, so that a claim need not
+// wait for the end of the process.
+func (m *Manager) onLeft(now fleet.Time, from fleet.Member, v View) {
+	m.Observe(now, v)
+	if r := m.rows[v.Shard]; r != nil && r.known == v && !slices.Contains(r.left, from) {
+		r.left = append(r.left, from)
+		r.busy = true
+	}
+}
+
+func (m *Manager) tellRegion(id ID) {
+	for _, vm := range m.regionVMs {
+		if vm.ID != m.cfg.Self.VM {
+			m.tell(vm.ID, id)
+		}
 	}
 }
 
@@ -437,7 +462,7 @@
 	case phaseActive:
 		return m.resigning || !r.committed || r.view.Copy.IsZero()
 	case phaseNone:
-		return !r.promise.IsZero() || r.claim != nil || r.want && !m.alive(r.known.Owner)
+		return !r.promise.IsZero() || r.claim != nil || r.want && !m.alive(r, r.known.Owner)
 	case phasePending:
 		return false
 	}
--- a/pkg/shard/messages.go
+++ b/pkg/shard/messages.go
@@ -22,6 +22,7 @@
 // Views announces active views.
 type Views struct {
 	Views []View `msgpack:"v"`
+	Left  []View `msgpack:"l,omitempty"` // views of which the sender was a member; it holds them no more
 }
 
 // Claim names one attempt to claim a shard. Attempts of one process rise.
--- a/pkg/shard/outbox.go
+++ b/pkg/shard/outbox.go
@@ -19,6 +19,7 @@
 // peerQueue collects what is sent to one VM until Outbox forms batches.
 type peerQueue struct {
 	views     []View
+	left      []View
 	asks      []Claim
 	replies   []Reply
 	releases  []Claim
@@ -50,7 +51,8 @@
 			continue
 		}
 		q := m.queues[vm]
-		out = batch(out, vm, q.views, func(v []View) fleet.Message { return &Views{v} })
+		out = batch(out, vm, q.views, func(v []View) fleet.Message { return &Views{Views: v} })
+		out = batch(out, vm, q.left, func(v []View) fleet.Message { return &Views{Left: v} })
 		out = batch(out, vm, q.resigns, func(v []View) fleet.Message { return &Resign{v} })
 		out = batch(out, vm, q.commits, func(v []View) fleet.Message { return &Commit{v} })
 		out = batch(out, vm, q.committed, func(v []View) fleet.Message { return &Committed{v} })
