--- a/cmd/fulmarbeam/commands.go
+++ b/cmd/fulmarbeam/commands.go
@@ -43,7 +43,7 @@
 		Args:          cobra.NoArgs,
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	root.AddCommand(newRun(), newCheck(), newVersion())
+	root.AddCommand(newRun(), newCheck(), newDemo(), newVersion())
 	return root
 }
 
@@ -67,11 +67,6 @@
 	return cmd
 }
 
-// runNode runs the VM until ctx ends. Package node is not connected yet.
-func runNode(context.Context, *settings.Settings) error {
-	return result.Errorf(result.Internal, "this build has no node")
-}
-
 // load reads the settings. A file that cannot be read has the code SettingsInvalid too.
 func load(file string) (*settings.Settings, error) {
 	s, err := settings.Load(file)
--- /dev/null
+++ b/cmd/fulmarbeam/run.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"encoding/base64"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/node"
+	"github.com/fulmarbeam/fulmarbeam/pkg/platform"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+	"github.com/fulmarbeam/fulmarbeam/pkg/settings"
+	"github.com/fulmarbeam/fulmarbeam/pkg/telemetry"
+)
+
+// runNode runs the VM until SIGTERM or SIGINT and returns nil after a graceful
+// shutdown.
+func runNode(ctx context.Context, s *settings.Settings) error {
+	logger, err := telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	rootKey, err := base64.StdEncoding.DecodeString(s.RootKey)
+	if err != nil {
+		return result.Errorf(result.SettingsInvalid, "root_key: %v", err)
+	}
+	n, err := node.New(node.Config{
+		Settings: s, RootKey: rootKey, Logger: logger, Version: version(),
+		Log:    platform.NewLogClient(s.Platform.LogURL, nil),
+		Lister: platform.NewListClient(s.Platform.ListURL, nil),
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return errors.Trace(n.Run(ctx))
+}
--- a/cmd/fulmarctl/sign.go
+++ b/cmd/fulmarctl/sign.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 
+	"github.com/fulmarbeam/fulmarbeam/pkg/configlog"
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
 )
 
@@ -19,15 +21,67 @@
 	Key     teamKey
 }
 
-// signEdit returns the edit as package configlog signs it. Until that package is
-// connected it returns an error.
-func signEdit(editInput) (json.RawMessage, error) {
-	return nil, result.Errorf(result.Internal, "this build cannot sign edits: package configlog is not connected")
+// signEdit returns the edit as package configlog signs it.
+func signEdit(in editInput) (json.RawMessage, error) {
+	key, err := in.Key.private()
+	if err != nil {
+		return nil, err
+	}
+	hash, err := patchedHash(in)
+	if err != nil {
+		return nil, err
+	}
+	signed := configlog.SignEdit(in.Stream, configlog.Edit{
+		ID: in.ID, Section: in.Section, Base: in.Base, Patch: in.Patch, ResultHash: hash, Team: in.Key.Team,
+	}, key)
+	return encode(signed)
 }
 
-// signGenesis returns the first record with the root section, signed by the root
-// key. Until package configlog is connected it returns an error.
+// patchedHash returns the hash of the section after the patch.
+func patchedHash(in editInput) (document.Hash, error) {
+	if in.Section == document.RootSection {
+		current, err := document.ParseRoot(in.Current)
+		if err != nil {
+			return document.Hash{}, result.Errorf(result.ConfigInvalid, "current section: %v", err)
+		}
+		root, err := document.PatchRoot(current, in.Patch)
+		if err != nil {
+			return document.Hash{}, result.Errorf(result.ConfigInvalid, "%v", err)
+		}
+		return document.HashRoot(root), nil
+	}
+	current, err := document.ParseSection(in.Section, in.Current)
+	if err != nil {
+		return document.Hash{}, result.Errorf(result.ConfigInvalid, "current section: %v", err)
+	}
+	section, _, err := document.PatchSection(in.Section, current, in.Patch)
+	if err != nil {
+		return document.Hash{}, result.Errorf(result.ConfigInvalid, "%v", err)
+	}
+	return document.HashSection(section), nil
+}
+
+// signGenesis returns the first record with the root section, signed by the root key.
 func signGenesis(stream string, root json.RawMessage, key teamKey) (json.RawMessage, error) {
-	_, _, _ = stream, root, key
-	return nil, result.Errorf(result.Internal, "this build cannot sign a first record: package configlog is not connected")
+	private, err := key.private()
+	if err != nil {
+		return nil, err
+	}
+	parsed, err := document.ParseRoot(root)
+	if err != nil {
+		return nil, result.Errorf(result.ConfigInvalid, "root section: %v", err)
+	}
+	genesis, err := configlog.NewGenesis(stream, parsed, private)
+	if err != nil {
+		return nil, err
+	}
+	return encode(genesis)
+}
+
+func encode(v any) (json.RawMessage, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, result.Errorf(result.Internal, "encode: %v", err)
+	}
+	return data, nil
 }
--- a/pkg/core/node.go
+++ b/pkg/core/node.go
@@ -55,6 +55,7 @@
 	keys   *keys.Keys
 	pools  *pool.Pools
 	opens  *openings
+	wanted []shard.ID
 
 	outbox []fleet.Envelope
 	events []fleet.Event
@@ -192,6 +193,7 @@
 			ids = append(ids, shard.PoolShard(p))
 		}
 	}
+	n.wanted = ids
 	n.shards.Want(now, ids)
 }
 
--- a/pkg/core/requests.go
+++ b/pkg/core/requests.go
@@ -53,8 +53,11 @@
 // WorkDecisions returns and clears the decisions on submitted work.
 func (n *Node) WorkDecisions() []pool.Decision { return n.pools.Decisions() }
 
-// ServerStatus returns what this VM knows of each backend server.
-func (n *Node) ServerStatus() []pool.ServerStatus { return n.pools.Status() }
+// PoolStatus returns what this VM knows of each pool and its servers.
+func (n *Node) PoolStatus() []pool.PoolStatus { return n.pools.Status() }
+
+// WantedShards returns the shards that this VM's region should have.
+func (n *Node) WantedShards() []shard.ID { return n.wanted }
 
 // Reserve asks for the right to run a request with an idempotency key.
 // ReserveDecisions returns the answer.
--- /dev/null
+++ b/pkg/node/engine.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"context"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/keys"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+)
+
+// lockedDo runs a call on the core and passes on what it produced.
+func (n *Node) lockedDo(call func(now fleet.Time)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	call(n.Now())
+	n.flush()
+}
+
+// flush passes on what the core produced. The caller holds the lock.
+func (n *Node) flush() {
+	for _, e := range n.core.Outbox() {
+		n.links.Send(e)
+	}
+	for _, d := range n.core.WorkDecisions() {
+		if waiter, ok := n.work[d.Work]; ok {
+			delete(n.work, d.Work)
+			waiter <- d
+		}
+	}
+	for _, d := range n.core.ReserveDecisions() {
+		if waiter, ok := n.reserves[d.Reserve]; ok {
+			delete(n.reserves, d.Reserve)
+			waiter <- d
+		}
+	}
+	for _, v := range n.core.Config().Settled() {
+		for _, waiter := range n.edits[v.ID] {
+			waiter <- v
+		}
+		delete(n.edits, v.ID)
+	}
+	for _, e := range n.core.Events() {
+		n.Record(e)
+	}
+	if index := n.core.Index(); index != n.index.Load() {
+		n.index.Store(index)
+	}
+}
+
+// Routes returns the look-up table in force, or nil before the first document.
+func (n *Node) Routes() *document.Index { return n.index.Load() }
+
+// Acquire waits for a slot. It returns the code CallerGone when ctx ends first.
+func (n *Node) Acquire(ctx context.Context, work pool.Work) pool.Decision {
+	waiter := make(chan pool.Decision, 1)
+	var decision pool.Decision
+	var decided bool
+	n.lockedDo(func(now fleet.Time) {
+		n.work[work.ID] = waiter
+		if decision, decided = n.core.Submit(now, work); decided {
+			delete(n.work, work.ID)
+		}
+	})
+	if decided {
+		return n.withAddress(decision)
+	}
+	select {
+	case d := <-waiter:
+		return n.withAddress(d)
+	case <-ctx.Done():
+	}
+	n.lockedDo(func(now fleet.Time) {
+		if _, waits := n.work[work.ID]; waits {
+			delete(n.work, work.ID)
+			n.core.Cancel(now, work.ID)
+		}
+	})
+	select {
+	case d := <-waiter: // decided before it could be withdrawn
+		if d.Code == result.OK {
+			n.Release(work.ID, pool.End{State: pool.EndAbandoned})
+		}
+	default:
+	}
+	return pool.Decision{Work: work.ID, Code: result.CallerGone}
+}
+
+func (n *Node) withAddress(d pool.Decision) pool.Decision {
+	if d.Code == result.OK && n.cfg.ServerAddress != nil {
+		d.Server.Addr = n.cfg.ServerAddress(d.Server)
+	}
+	return d
+}
+
+// Release reports how an attempt ended and gives its slot back.
+func (n *Node) Release(id pool.WorkID, end pool.End) {
+	n.lockedDo(func(now fleet.Time) { n.core.End(now, id, end) })
+}
+
+// MayRetry takes one repeat from the service's budget if there is one.
+func (n *Node) MayRetry(service fleet.Service) (allowed bool) {
+	n.lockedDo(func(now fleet.Time) { allowed = n.core.MayRetry(now, service) })
+	return allowed
+}
+
+// Reserve asks for the right to run a request with an idempotency key.
+func (n *Node) Reserve(ctx context.Context, workspace string, scope keys.Scope, fingerprint uint64, deadline fleet.Time) keys.Decision {
+	id := keys.ReserveID(n.nextID.Add(1))
+	waiter := make(chan keys.Decision, 1)
+	n.lockedDo(func(now fleet.Time) {
+		n.reserves[id] = waiter
+		n.core.Reserve(now, id, workspace, scope, fingerprint, deadline)
+	})
+	select {
+	case d := <-waiter:
+		return d
+	case <-ctx.Done():
+	}
+	n.lockedDo(func(now fleet.Time) {
+		if _, waits := n.reserves[id]; waits {
+			delete(n.reserves, id)
+			n.core.Abandon(now, id)
+		}
+	})
+	select {
+	case d := <-waiter: // decided before it could be withdrawn
+		if d.Verdict == keys.VerdictRun {
+			n.Finish(id, keys.FinishNotRun, nil)
+		}
+	default:
+	}
+	return keys.Decision{Reserve: id, Verdict: keys.VerdictRefuse, Code: result.KeyNoQuorum}
+}
+
+// Finish ends a reservation that got VerdictRun.
+func (n *Node) Finish(id keys.ReserveID, state keys.FinishState, answer *keys.Answer) {
+	n.lockedDo(func(now fleet.Time) { n.core.Finish(now, id, state, answer) })
+}
+
+// Record adds an event to the journal and the log.
+func (n *Node) Record(event fleet.Event) {
+	event.VM = n.self.VM
+	n.recorder.Record(event)
+	n.log.V(1).Info("event", "kind", event.Kind, "service", event.Service, "server", event.Server, "reason", event.Reason)
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,310 @@
+// Package node runs one entry VM: it gives the deterministic core its clock, links,
+// platform clients, HTTP listeners and journal.
+package node
+
+import (
+	"context"
+	"hash/maphash"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/configlog"
+	"github.com/fulmarbeam/fulmarbeam/pkg/core"
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/journal"
+	"github.com/fulmarbeam/fulmarbeam/pkg/keys"
+	"github.com/fulmarbeam/fulmarbeam/pkg/link"
+	"github.com/fulmarbeam/fulmarbeam/pkg/operator"
+	"github.com/fulmarbeam/fulmarbeam/pkg/platform"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+	"github.com/fulmarbeam/fulmarbeam/pkg/proxy"
+	"github.com/fulmarbeam/fulmarbeam/pkg/settings"
+	"github.com/fulmarbeam/fulmarbeam/pkg/telemetry"
+	"github.com/fulmarbeam/fulmarbeam/pkg/tlsconf"
+)
+
+// Times of the loops.
+const (
+	tickInterval = 10 * time.Millisecond
+	// idlePoll is the pause before the configuration module is asked again for a
+	// read or an append.
+	idlePoll = 20 * time.Millisecond
+	// listRetry is the pause after a failed reading of the platform's list.
+	listRetry = 500 * time.Millisecond
+	// operatorGrace is how long the operators' API may take to end its requests.
+	operatorGrace = time.Second
+)
+
+// ConfigStream is the log service's stream of the configuration.
+const ConfigStream = "config"
+
+// Config describes the process. Settings, Log and Lister are required.
+type Config struct {
+	Settings *settings.Settings
+	RootKey  []byte // Ed25519 public key expected in the first record
+	Log      platform.Log
+	Lister   platform.Lister
+	Logger   logr.Logger
+	Version  string
+	Policy   pool.Policy // how slots are shared; empty means the product's own
+
+	// Incarnation numbers this process; zero means the start time.
+	Incarnation fleet.Incarnation
+	// ListSettle is passed to core.Config.
+	ListSettle time.Duration
+	// LinkAddress and ServerAddress replace addresses of the platform's list, so that
+	// a test can put a proxy on a path. Nil keeps them.
+	LinkAddress   func(fleet.VM) string
+	ServerAddress func(fleet.Server) string
+}
+
+// Node is a running entry VM.
+type Node struct {
+	cfg     Config
+	self    fleet.Member
+	region  fleet.Region
+	zone    fleet.Zone
+	log     logr.Logger
+	origin  time.Time
+	metrics *metrics.Set
+	tracing *telemetry.Tracing
+
+	links     *link.Links
+	proxy     *proxy.Proxy
+	recorder  *journal.Recorder
+	callers   listener
+	operators listener
+	meters    listener
+
+	cancel   context.CancelFunc
+	loops    sync.WaitGroup
+	draining atomic.Bool
+	drainReq chan struct{}
+	drainOne sync.Once
+	nextID   atomic.Uint64
+	index    atomic.Pointer[document.Index]
+	listed   atomic.Bool
+
+	mu       sync.Mutex // guards the fields below
+	core     *core.Node
+	work     map[pool.WorkID]chan pool.Decision
+	reserves map[keys.ReserveID]chan keys.Decision
+	edits    map[string][]chan configlog.Verdict
+}
+
+// listener is an HTTP server with its socket.
+type listener struct {
+	net.Listener
+	server *http.Server
+}
+
+// New binds the listeners and builds the node. Run starts it.
+func New(cfg Config) (*Node, error) {
+	n := &Node{
+		cfg: cfg, log: cfg.Logger, origin: time.Now(), metrics: telemetry.NewMetrics(),
+		region: fleet.Region(cfg.Settings.VM.Region), zone: fleet.Zone(cfg.Settings.VM.Zone),
+		drainReq: make(chan struct{}),
+		work:     make(map[pool.WorkID]chan pool.Decision),
+		reserves: make(map[keys.ReserveID]chan keys.Decision),
+		edits:    make(map[string][]chan configlog.Verdict),
+	}
+	if n.log.GetSink() == nil {
+		n.log = logr.Discard()
+	}
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = fleet.Incarnation(n.origin.UnixNano())
+	}
+	n.self = fleet.Member{VM: fleet.VMID(cfg.Settings.VM.ID), Incarnation: cfg.Incarnation}
+	seed := maphash.Comparable(maphash.MakeSeed(), n.self)
+	n.core = core.New(core.Config{
+		Self: n.self, Region: n.region, Zone: n.zone, Stream: ConfigStream, RootKey: cfg.RootKey,
+		Seed: seed, Policy: cfg.Policy, ListSettle: cfg.ListSettle,
+		WallClock: func(t fleet.Time) time.Time { return n.origin.Add(time.Duration(t)) },
+	})
+	n.recorder = journal.New(journal.Config{
+		Self: n.self, Seed: seed, Log: cfg.Log, Now: n.Now, Logger: n.log, Metrics: n.metrics,
+	})
+	if err := n.build(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	n.registerMetrics()
+	return n, nil
+}
+
+func (n *Node) build() error {
+	s := n.cfg.Settings
+	tracing, err := telemetry.NewTracing(context.Background(), telemetry.TracingConfig{
+		Service: "fulmarbeam", VM: s.VM.ID, Region: s.VM.Region, Zone: s.VM.Zone,
+		Endpoint: s.Tracing.OTLPEndpoint, SampleRatio: s.Tracing.SampleRatio,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.tracing = tracing
+	if err := n.buildOperators(); err != nil {
+		return err
+	}
+	if err := n.buildLinks(); err != nil {
+		return err
+	}
+	if err := n.buildProxy(); err != nil {
+		return err
+	}
+	return n.buildMetrics()
+}
+
+func (n *Node) buildLinks() error {
+	s := n.cfg.Settings
+	source, err := tlsSource(s.TLS.Links)
+	if err != nil {
+		return err
+	}
+	operators := s.Advertise.Operators
+	if operators == "" {
+		operators = n.operators.Addr().String()
+	}
+	n.links, err = link.New(link.Config{
+		Self: n.self, Fleet: s.Fleet, Region: n.region, Zone: n.zone,
+		Listener: s.Listen.Links, Advertise: s.Advertise.Links, Operators: operators, TLS: source,
+		Handler: n.handle, OnHello: n.hello, OnRefused: n.refused, DialListed: true, RegionOf: n.regionOf,
+		Logger: n.log, Metrics: n.metrics,
+	})
+	return errors.Trace(err)
+}
+
+func tlsSource(files settings.Files) (*tlsconf.Source, error) {
+	if !files.Enabled() {
+		return nil, nil
+	}
+	source, err := tlsconf.New(tlsconf.Files{Cert: files.Cert, Key: files.Key, CA: files.CA})
+	return source, errors.Trace(err)
+}
+
+func (n *Node) buildProxy() error {
+	s := n.cfg.Settings
+	limits := proxy.DefaultLimits()
+	limits.HeaderBytes = int(s.Limits.Header)
+	limits.ReplayBody = int(s.Limits.BodyBuffer)
+	limits.BufferedBytes = int64(s.Limits.BodyBufferTotal)
+	var err error
+	n.proxy, err = proxy.New(proxy.Config{
+		Engine: n, Region: n.region, Logger: n.log, Tracer: n.tracing.Tracer("proxy"), Metrics: n.metrics, Limits: limits,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.callers.server = n.proxy.NewServer()
+	n.callers.Listener, err = net.Listen("tcp", s.Listen.Callers)
+	return errors.Annotatef(err, "callers")
+}
+
+func (n *Node) buildOperators() error {
+	s := n.cfg.Settings
+	source, err := tlsSource(s.TLS.Operators)
+	if err != nil {
+		return err
+	}
+	n.operators.server = operator.NewServer(operator.Options{Backend: n, Logger: n.log, Dial: n.dialOperators(source)})
+	if source != nil {
+		n.operators.server.TLSConfig = source.Server()
+	}
+	n.operators.Listener, err = net.Listen("tcp", s.Listen.Operators)
+	return errors.Annotatef(err, "operators")
+}
+
+func (n *Node) buildMetrics() error {
+	addr := n.cfg.Settings.Listen.Metrics
+	if addr == "" {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", telemetry.MetricsHandler(n.metrics))
+	n.meters.server = &http.Server{Handler: mux, ReadHeaderTimeout: listRetry}
+	var err error
+	n.meters.Listener, err = net.Listen("tcp", addr)
+	return errors.Annotatef(err, "metrics")
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []listener{n.callers, n.operators, n.meters} {
+		if l.Listener != nil {
+			_ = l.Close()
+		}
+	}
+	if n.links != nil {
+		_ = n.links.Close()
+	}
+}
+
+// LinkAddr, CallersAddr and OperatorsAddr return the bound addresses.
+func (n *Node) LinkAddr() string      { return n.links.Addr() }
+func (n *Node) CallersAddr() string   { return n.callers.Addr().String() }
+func (n *Node) OperatorsAddr() string { return n.operators.Addr().String() }
+
+// Member returns this process.
+func (n *Node) Member() fleet.Member { return n.self }
+
+// Metrics returns the node's metrics set.
+func (n *Node) Metrics() *metrics.Set { return n.metrics }
+
+// Now returns the time since the node was built.
+func (n *Node) Now() fleet.Time { return fleet.Time(time.Since(n.origin)) }
+
+// Run serves until ctx ends or a drain is asked for, then shuts down gracefully. It
+// returns nil after a complete shutdown.
+func (n *Node) Run(ctx context.Context) error {
+	loopCtx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	defer n.Kill()
+	for _, loop := range []func(context.Context){n.tickLoop, n.listLoop, n.readLoop, n.appendLoop, n.recorder.Run} {
+		n.loops.Add(1)
+		go func() {
+			defer n.loops.Done()
+			loop(loopCtx)
+		}()
+	}
+	failed := make(chan error, 3)
+	go func() { failed <- n.proxy.Serve(n.callers.server, n.callers.Listener) }()
+	go func() { failed <- n.serveOperators() }()
+	if n.meters.server != nil {
+		go func() { failed <- n.meters.server.Serve(n.meters.Listener) }()
+	}
+	n.log.Info("started", "vm", n.self.String(), "callers", n.CallersAddr(), "links", n.LinkAddr(), "operators", n.OperatorsAddr())
+	select {
+	case err := <-failed:
+		return errors.Annotate(err, "listener")
+	case <-ctx.Done():
+	case <-n.drainReq:
+	}
+	return n.shutdown()
+}
+
+func (n *Node) serveOperators() error {
+	if n.operators.server.TLSConfig != nil {
+		return n.operators.server.ServeTLS(n.operators.Listener, "", "")
+	}
+	return n.operators.server.Serve(n.operators.Listener)
+}
+
+// Kill ends the node at once, as a crash would: nothing is handed over.
+func (n *Node) Kill() {
+	if n.cancel != nil {
+		n.cancel()
+	}
+	n.closeListeners()
+	for _, l := range []listener{n.callers, n.operators, n.meters} {
+		if l.server != nil {
+			_ = l.server.Close()
+		}
+	}
+	n.loops.Wait()
+}
--- a/pkg/shard/types.go
+++ b/pkg/shard/types.go
@@ -85,3 +85,14 @@
 // ErrNoHistory is returned by Replica.Export when the shard has admitted nothing
 // yet, so that its state must not be copied and need not be kept.
 var ErrNoHistory = errors.New("shard: no history to export yet")
+
+// String returns the role's name.
+func (r Role) String() string {
+	switch r {
+	case RoleOwner:
+		return "owner"
+	case RoleCopy:
+		return "copy"
+	}
+	return "none"
+}
