--- a/pkg/document/document_test.go
+++ b/pkg/document/document_test.go
@@ -222,7 +222,7 @@
 	entries := map[string][]string{
 		"services": {`null`, `{"servers":3}`, `{"floor":{"servers":1,"percent":null}}`, `{"floor":null}`, `{"slots":"x"}`,
 			`{"servers":5,"slots":2,"connections":8}`},
-		"routes": {`null`, `{"weight":2}`, `{"service":"yard"}`, `{"path":"/pay","service":"pay"}`, `{"methods":null}`, `{"Path":"/x"}`, `7`},
+		"routes":     {`null`, `{"weight":2}`, `{"service":"yard"}`, `{"path":"/pay","service":"pay"}`, `{"methods":null}`, `{"Path":"/x"}`, `7`},
 		"workspaces": {`null`, `{"home":"north"}`, `{"home":"west"}`, `{"weight":3}`},
 	}
 	var parts []string
