--- a/pkg/configlog/duty.go
+++ b/pkg/configlog/duty.go
@@ -40,8 +40,6 @@
 	next  int
 }
 
-func (d *duty) init() {}
-
 func (d *duty) noteSnapshot(now fleet.Time, one *gathered) {
 	if d.known && one.header.Covers <= d.covers {
 		return
@@ -95,18 +93,18 @@
 		n.writeParts(now)
 		return
 	}
-	rank, relay := n.rank()
-	if !due || !relay || now.Sub(d.dueAt) < time.Duration(rank)*snapshotStep || d.wrote && now.Sub(d.wroteAt) < snapshotGap {
+	if !due || !n.relays.self {
+		return
+	}
+	rank := n.rank()
+	if now.Sub(d.dueAt) < time.Duration(rank)*snapshotStep || d.wrote && now.Sub(d.wroteAt) < snapshotGap {
 		return
 	}
 	n.startSnapshot(now)
 }
 
 // rank orders the relays of all regions.
-func (n *Node) rank() (int, bool) {
-	if n.dir == nil || !n.relays.self {
-		return 0, false
-	}
+func (n *Node) rank() int {
 	var regions []fleet.Region
 	for _, vm := range n.dir.VMs {
 		regions = append(regions, vm.Region)
@@ -114,13 +112,13 @@
 	slices.Sort(regions)
 	region, _ := slices.BinarySearch(slices.Compact(regions), n.cfg.Region)
 	own := 0
-	for _, vm := range candidates(n.dir, n.cfg.Region) {
+	for _, vm := range n.relays.order {
 		if vm.ID == n.cfg.Self.VM {
 			break
 		}
 		own++
 	}
-	return region*RelaysPerRegion + min(own, RelaysPerRegion-1), true
+	return region*RelaysPerRegion + min(own, RelaysPerRegion-1)
 }
 
 func (n *Node) startSnapshot(now fleet.Time) {
--- a/pkg/configlog/node.go
+++ b/pkg/configlog/node.go
@@ -108,7 +108,6 @@
 	n.reader.collect = newGather(false)
 	n.relays.init()
 	n.transfer.init()
-	n.duty.init()
 	n.publish.init()
 	return n
 }
@@ -117,6 +116,7 @@
 func (n *Node) SetDirectory(now fleet.Time, dir *fleet.Directory) {
 	n.dir = dir
 	n.relays.forget(dir)
+	n.relays.order = candidates(dir, n.cfg.Region)
 	n.chooseRelays(now)
 }
 
--- a/pkg/configlog/reader.go
+++ b/pkg/configlog/reader.go
@@ -46,10 +46,9 @@
 		return Read{}, false
 	}
 	read := Read{From: n.state.Next(), MaxBytes: ReadBytes}
-	urgent := len(r.barriers) > 0 || n.awaitsRecord()
 	if r.scanning {
 		read.From = r.scanPos
-	} else if n.relays.self && !urgent && n.state.Next() >= r.tail {
+	} else if n.state.Next() >= r.tail && len(r.barriers) == 0 && (n.relays.self || n.awaitsRecord()) {
 		read.Wait = LongPoll
 	}
 	r.reading, r.startNext = true, n.state.Next()
--- a/pkg/configlog/relay.go
+++ b/pkg/configlog/relay.go
@@ -39,6 +39,7 @@
 // relays is the fan-out within a region.
 type relays struct {
 	self   bool         // this VM is a relay
+	order  []fleet.VM   // candidates of the own region
 	chosen []fleet.VMID // relays that this VM pulls from
 	peers  map[fleet.VMID]*peer
 	recent []Relayed
@@ -136,7 +137,7 @@
 	r := &n.relays
 	r.self, r.chosen = false, r.chosen[:0]
 	count := 0
-	for _, vm := range candidates(n.dir, n.cfg.Region) {
+	for _, vm := range r.order {
 		if count == RelaysPerRegion {
 			break
 		}
--- a/pkg/configlog/snapshot.go
+++ b/pkg/configlog/snapshot.go
@@ -185,10 +185,14 @@
 	return out
 }
 
-func (p *Snapshot) valid() bool {
+// validHead checks a part apart from its data.
+func (p *Snapshot) validHead() bool {
 	return p.ID != "" && len(p.ID) <= MaxIDBytes && p.Covers >= 0 && p.Bytes > 0 && p.Bytes <= MaxStateBytes &&
-		p.Parts == (p.Bytes+SnapshotPartBytes-1)/SnapshotPartBytes && p.Part >= 0 && p.Part < p.Parts &&
-		len(p.Data) == min(SnapshotPartBytes, p.Bytes-p.Part*SnapshotPartBytes)
+		p.Parts == (p.Bytes+SnapshotPartBytes-1)/SnapshotPartBytes && p.Part >= 0 && p.Part < p.Parts
+}
+
+func (p *Snapshot) validData() bool {
+	return len(p.Data) == min(SnapshotPartBytes, p.Bytes-p.Part*SnapshotPartBytes)
 }
 
 // header identifies the snapshot that a part belongs to.
@@ -237,7 +241,7 @@
 
 // add takes a part and returns its snapshot when that is complete.
 func (g *gather) add(rec platform.Record, p *Snapshot) *gathered {
-	if !p.valid() || p.Covers >= rec.Offset {
+	if !p.validHead() || p.Covers >= rec.Offset || g.withData && !p.validData() {
 		return nil
 	}
 	key := p.key()
--- a/pkg/configlog/state.go
+++ b/pkg/configlog/state.go
@@ -453,6 +453,10 @@
 		ch.doc = s.doc.WithSection(e.Section, section)
 		problems = document.ValidateChange(ch.doc, e.Section, refs)
 	}
+	// A larger document could not be passed on as a snapshot.
+	if size := s.bytesWith(e.Section, ch.tree); size > document.MaxDocumentBytes {
+		return ch, result.Errorf(result.ConfigTooLarge, "the document would have %d bytes of at most %d", size, document.MaxDocumentBytes)
+	}
 	if ch.sum != e.ResultHash {
 		return ch, result.Errorf(result.ConfigHashMismatch, "the patched section has hash %s", ch.sum)
 	}
@@ -462,6 +466,20 @@
 	return ch, nil
 }
 
+// bytesWith returns the size of all sections' entries with one tree replaced.
+func (s *State) bytesWith(section string, tree *document.Tree) int {
+	total := 0
+	if tree != nil {
+		total = tree.Bytes()
+	}
+	for name, sec := range s.sections {
+		if name != section && sec.tree != nil {
+			total += sec.tree.Bytes()
+		}
+	}
+	return total
+}
+
 func (sec *sectionState) treeOrEmpty() *document.Tree {
 	if sec == nil || sec.tree == nil {
 		return document.NewTree(document.Section{})
--- a/pkg/document/hash.go
+++ b/pkg/document/hash.go
@@ -80,6 +80,7 @@
 type treeLeaf struct {
 	ref    Ref
 	digest Hash
+	size   int // of the entry in canonical JSON
 }
 
 // Tree is the content hash of a section, kept up to date entry by entry. Its sum
@@ -87,6 +88,7 @@
 type Tree struct {
 	leaves [][]treeLeaf // by bucket, sorted by kind and name
 	sums   []Hash       // by bucket; meaningless for an empty bucket
+	bytes  int          // sum of the entries' sizes
 }
 
 // NewTree builds the tree of a section.
@@ -110,26 +112,32 @@
 
 func (t *Tree) append(ref Ref, value any) {
 	i := bucketOf(ref)
-	t.leaves[i] = append(t.leaves[i], treeLeaf{ref, entryHash(ref, value)})
+	leaf := newLeaf(ref, value)
+	t.leaves[i] = append(t.leaves[i], leaf)
+	t.bytes += leaf.size
 }
 
+// Bytes returns the size of all entries, names included, in canonical JSON.
+func (t *Tree) Bytes() int { return t.bytes }
+
 // Updated returns the tree after a change of the entries named by refs; s is the
 // section after it. The receiver stays as it is.
 func (t *Tree) Updated(s Section, refs []Ref) *Tree {
-	out := &Tree{leaves: slices.Clone(t.leaves), sums: slices.Clone(t.sums)}
+	out := &Tree{leaves: slices.Clone(t.leaves), sums: slices.Clone(t.sums), bytes: t.bytes}
 	for _, ref := range refs {
 		i := bucketOf(ref)
 		value, present := s.entry(ref)
 		bucket := slices.Clone(out.leaves[i])
 		at, found := slices.BinarySearchFunc(bucket, ref, func(l treeLeaf, r Ref) int { return compareRefs(l.ref, r) })
-		switch {
-		case present && found:
-			bucket[at].digest = entryHash(ref, value)
-		case present:
-			bucket = slices.Insert(bucket, at, treeLeaf{ref, entryHash(ref, value)})
-		case found:
+		if found {
+			out.bytes -= bucket[at].size
 			bucket = slices.Delete(bucket, at, at+1)
 		}
+		if present {
+			leaf := newLeaf(ref, value)
+			out.bytes += leaf.size
+			bucket = slices.Insert(bucket, at, leaf)
+		}
 		out.leaves[i] = bucket
 		out.sums[i] = bucketSum(bucket)
 	}
@@ -192,9 +200,9 @@
 	return Hash(h.Sum(nil))
 }
 
-// entryHash covers kind, name and value; the length before the name keeps the
-// fields from running into each other.
-func entryHash(ref Ref, value any) Hash {
+// newLeaf hashes kind, name and value; the length before the name keeps the fields
+// from running into each other.
+func newLeaf(ref Ref, value any) treeLeaf {
 	data, _ := json.Marshal(value)
 	buf := make([]byte, 0, len(entryDomain)+len(ref.Kind)+len(ref.Name)+len(data)+8)
 	buf = append(buf, entryDomain...)
@@ -203,5 +211,5 @@
 	buf = binary.BigEndian.AppendUint32(buf, uint32(len(ref.Name)))
 	buf = append(buf, ref.Name...)
 	buf = append(buf, data...)
-	return sha256.Sum256(buf)
+	return treeLeaf{ref, sha256.Sum256(buf), len(ref.Name) + len(data)}
 }
--- a/pkg/document/validate.go
+++ b/pkg/document/validate.go
@@ -28,7 +28,9 @@
 	MinKeyRetention = Duration(10 * time.Second)
 	MaxKeyRetention = Duration(24 * time.Hour)
 	MaxSections     = 4096
-	MaxHosts        = 256 // of one route
+	MaxHosts        = 256     // of one route
+	MaxMethods      = 32      // of one route
+	MaxMatches      = 500_000 // pairs of host and method over all routes; bounds the index
 	MaxRegions      = 64
 	MaxServices     = 10_000    // of the document; bounds its snapshots
 	MaxRoutes       = 100_000   // of the document
@@ -283,6 +285,9 @@
 	if len(r.Hosts) > MaxHosts {
 		p.addf(path+".hosts", "%d hosts exceed %d", len(r.Hosts), MaxHosts)
 	}
+	if len(r.Methods) > MaxMethods {
+		p.addf(path+".methods", "%d methods exceed %d", len(r.Methods), MaxMethods)
+	}
 	for i, host := range r.Hosts {
 		if host == "" || host != CanonicalHost(host) || strings.ContainsAny(host, "/*? ") || len(host) > 253 {
 			p.addf(fmt.Sprintf("%s.hosts[%d]", path, i), "want a host name in lower case without port")
@@ -416,6 +421,10 @@
 					seen[key] = name
 				}
 			}
+			if len(seen) > MaxMatches {
+				p.addf("sections", "the routes' pairs of host and method exceed %d", MaxMatches)
+				return
+			}
 		}
 	}
 }
