Tell gray servers from path faults and bad callers

Change: clients exchange an idle credit at each sync; an alarm waits 120 ms, is checked against the current base rates, and compares one VM's and one zone's evidence with the rest; an open case is moved to other VMs. A former owner that is told of a later version stops.

--- a/pkg/pool/client.go
+++ b/pkg/pool/client.go
@@ -20,7 +20,7 @@
 	ejectionLease = 5 * time.Second
 	ownerSilence  = 800 * time.Millisecond
 	pathAvoid     = 5 * time.Second        // a server that this VM cannot reach
-	failAvoid     = 500 * time.Millisecond // prefer others after a failure
+	failAvoid     = 100 * time.Millisecond // prefer others after a failure
 	shedAvoid     = 50 * time.Millisecond
 	drainAvoid    = 30 * time.Second // the server says that it leaves; its row follows in the list
 	idleReturn    = time.Second      // unused credits go back
@@ -103,6 +103,7 @@
 
 	lastSync   fleet.Time
 	lastAway   fleet.Time
+	lastMix    fleet.Time
 	lastWork   fleet.Time
 	lastIdem   fleet.Time
 	lastRoutes fleet.Time
--- a/pkg/pool/clientcredits.go
+++ b/pkg/pool/clientcredits.go
@@ -32,7 +32,10 @@
 	return r, ok
 }
 
-func (c *client) onRedirect(now fleet.Time, m *Redirect) {
+func (c *client) onRedirect(m *Redirect) {
+	if co := c.pool.coord; co != nil && m.Version > co.version {
+		co.superseded = m.Version
+	}
 	if v, ok := c.view(); ok && m.Version <= v.Version {
 		return
 	}
@@ -74,6 +77,31 @@
 	}
 }
 
+// mix gives one idle credit back in exchange for one of another server, so that
+// over a few syncs each server is seen by many VMs: evidence from a single VM cannot
+// tell a gray server from a bad path or a bad caller.
+func (c *client) mix(now fleet.Time) {
+	if c.p.cfg.Policy != PolicyCredits || c.mode != modeOwner || c.cutoff > 0 || c.usedPct >= spareBelow ||
+		now.Sub(c.lastMix) < syncActive || now.Sub(c.lastWork) > activeFor || c.idle() < 2 {
+		return
+	}
+	latest := int32(-1)
+	for _, i := range c.held {
+		r := &c.pool.rows[i].cl
+		if r.free() > 0 && !r.trial && (latest < 0 || r.lastUse > c.pool.rows[latest].cl.lastUse) {
+			latest = i
+		}
+	}
+	if latest < 0 {
+		return
+	}
+	c.lastMix = now
+	r := &c.pool.rows[latest].cl
+	r.granted--
+	r.grantedLong = min(r.grantedLong, r.granted)
+	r.raiseFrom = c.seq + 1
+}
+
 // needSlot asks for a credit at once when none was asked for just now.
 func (c *client) needSlot(now fleet.Time) {
 	if !c.p.cfg.Policy.coordinated() || c.p.cfg.Policy != PolicyCredits {
@@ -109,6 +137,7 @@
 	if !ok {
 		return
 	}
+	c.mix(now)
 	c.lastSync = now
 	c.wake = false
 	c.inquire = false
@@ -201,10 +230,10 @@
 // onState applies a coordinator's answer.
 func (c *client) onState(now fleet.Time, from fleet.Member, m *State) {
 	sent, known := c.sent(m.Echo)
-	if !known || m.Version < c.version {
+	v, ok := c.view()
+	if !known || m.Version < max(c.version, v.Version) {
 		return
 	}
-	v, ok := c.view()
 	if m.Copy {
 		if ok && from == v.Copy && c.mode != modeOwner {
 			c.fromCopy(now, sent, m)
--- a/pkg/pool/coord.go
+++ b/pkg/pool/coord.go
@@ -21,20 +21,20 @@
 // coord is the coordinator's state of a pool at the shard's owner, and the kept
 // ejections and the slots of turned-away clients at its copy.
 type coord struct {
-	p       *Pools
-	pool    *pool
-	role    shard.Role
-	version uint64
-	copyOf  fleet.Member // the copy of the current view; zero while the owner is alone
-	epoch   uint64
-	openAt  fleet.Time // no unreported slot is lent before
-	ejectAt fleet.Time // no ejection before
+	p          *Pools
+	pool       *pool
+	role       shard.Role
+	version    uint64
+	copyOf     fleet.Member // the copy of the current view; zero while the owner is alone
+	epoch      uint64
+	superseded uint64     // a later version that another member told of
+	openAt     fleet.Time // no unreported slot is lent before
+	ejectAt    fleet.Time // no ejection before
 
 	clients        []*creditClient // sorted by VM
 	membersChanged bool            // the set of clients with a lease changed
 	lentAll        int
 	slotsAll       int
-	cursor         int
 	turn           int
 	cutoff         int8
 	usedPct        int
@@ -46,7 +46,8 @@
 
 	evidence  map[uint32]*routeEvidence
 	routes    []*routeEvidence // in order of appearance
-	ejections []*ejection      // sorted by server
+	alarms    []alarm
+	ejections []*ejection // sorted by server
 	repSeq    uint64
 	repSent   fleet.Time
 	repDirty  bool
@@ -106,7 +107,7 @@
 		r := &c.pool.rows[i].co
 		*r = coordRow{ej: r.ej, rampAt: r.rampAt, ramping: r.ramping}
 	}
-	c.evidence, c.routes = map[uint32]*routeEvidence{}, nil
+	c.evidence, c.routes, c.alarms = map[uint32]*routeEvidence{}, nil, nil
 	c.cutoff = 0
 	c.openAt = now.Add(creditLease + leaseMargin)
 	c.membersChanged = true
@@ -140,11 +141,13 @@
 	if c.p.dir == nil {
 		return
 	}
-	role, _ := c.p.cfg.Authority.Role(c.pool.shard)
-	if role != c.role {
+	if !c.acting() {
 		return
 	}
 	c.expire(now)
+	if c.role == shard.RoleOwner {
+		c.ripeAlarms(now)
+	}
 	if now.Sub(c.lastSlow) >= slowCycle {
 		c.lastSlow = now
 		c.slowTick(now)
@@ -153,6 +156,13 @@
 	c.push(now)
 }
 
+// acting reports whether this process holds the role in the version that the state
+// belongs to, and knows of no later one.
+func (c *coord) acting() bool {
+	role, version := c.p.cfg.Authority.Role(c.pool.shard)
+	return role == c.role && role != shard.RoleNone && version == c.version && c.superseded <= version
+}
+
 func (c *coord) slowTick(now fleet.Time) {
 	if c.membersChanged {
 		c.reserve(now)
--- a/pkg/pool/credits.go
+++ b/pkg/pool/credits.go
@@ -46,6 +46,7 @@
 	trials   bool
 	dirty    bool // a state is due
 	routes   map[uint32]RouteStat
+	seen     [signs]tally // evidence from this client about all servers
 	sentStat fleet.Time
 }
 
@@ -63,18 +64,20 @@
 
 // coordRow is the coordinator's part of a server's row.
 type coordRow struct {
-	lent     int
-	lentLong int
-	reserved int // allotments of VMs that have lost this coordinator
-	copyCap  int // at the copy: allotments of the clients that turned to it
-	rampAt   fleet.Time
-	ramping  bool
-	suspect  bool // held back by the floor: used last
-	score    [signs]float64
-	seen     [signs]int // evidence in the current run
-	sources  []source
-	told     fleet.Time
-	ej       *ejection
+	lent      int
+	lentLong  int
+	reserved  int // allotments of VMs that have lost this coordinator
+	copyCap   int // at the copy: allotments of the clients that turned to it
+	rampAt    fleet.Time
+	ramping   bool
+	suspect   bool // held back by the floor: used last
+	score     [signs]float64
+	seen      [signs]int        // evidence in the current run
+	alarmAt   [signs]fleet.Time // when the score crossed the threshold
+	sources   []source
+	told      fleet.Time
+	consulted fleet.Time
+	ej        *ejection
 }
 
 // setLent keeps the row's sums in step.
--- a/pkg/pool/detector.go
+++ b/pkg/pool/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,18 +23,22 @@
 	graySlowness  = 0.7 // p1 of slowness
 	grayTimes     = 3   // p1 over p0 at least
 	mostGray      = 0.95
-	scoreCap      = 3 // times the threshold
-	confirmShare  = 0.5
+	leastContrast = 1.75 // p1 over p0 below which the others are no measure
+	scoreCap      = 3    // times the threshold
+	confirmShare  = 0.2  // of the threshold, in the fast window
 )
 
 // Rules about the sources of evidence.
 const (
-	oneClient    = 0.8 // share of the bad outcomes that makes one VM the only source
-	oneZone      = 0.9
-	leastCompare = 5  // requests of others before they are compared
-	leastElse    = 10 // requests of the only source on other servers
-	leastRatio   = 3  // between bad rates that count as different
+	otherSupport = 1.0  // log likelihood ratio of the others' evidence that confirms a VM or zone
+	otherDenial  = -3.5 // and that denies it
+	leastElse    = 10   // requests of a single source on other servers
+	leastRatio   = 3    // between bad rates that count as different
 	maxRoutes    = 4096
+	alarmRipe    = 120 * time.Millisecond // two reports of bad news
+	consultEvery = 200 * time.Millisecond
+	consultAvoid = time.Second
+	consultVMs   = 3
 )
 
 var threshold = math.Log(1 / alpha)
@@ -89,7 +94,9 @@
 	own.add(now, s, n, bad)
 	re.total.add(now, s, n, bad)
 	r := &c.pool.rows[i].co
-	r.source(cc).seen[s].add(now, sourceWindow, n, bad)
+	src := r.source(cc)
+	src.seen[s].add(now, sourceWindow, n, bad)
+	cc.seen[s].add(now, sourceWindow, n, bad)
 	p0, ok := baseRate(now, re, own, s)
 	if !ok {
 		return
@@ -100,19 +107,24 @@
 	}
 	// Order within a report is unknown: bad outcomes are spread evenly over it.
 	for k := range n {
+		step := good
 		if (k+1)*bad/n > k*bad/n {
-			r.score[s] += evil
-		} else {
-			r.score[s] += good
+			step = evil
 		}
+		r.score[s] += step
+		src.run[s] += step
 		r.seen[s]++
 		if r.score[s] <= 0 {
-			r.score[s], r.seen[s] = 0, 0
+			r.newRun(s)
 		}
 	}
 	r.score[s] = min(r.score[s], scoreCap*threshold)
-	if r.score[s] >= threshold && r.seen[s] >= leastEvidence {
-		c.alarm(now, i, s)
+	switch {
+	case r.score[s] < threshold || r.seen[s] < leastEvidence:
+		r.alarmAt[s] = 0
+	case r.alarmAt[s] == 0:
+		r.alarmAt[s] = now
+		c.alarms = append(c.alarms, alarm{i, s})
 	}
 }
 
@@ -162,12 +174,33 @@
 		p1 = max(grayFailure, grayTimes*p0)
 	}
 	p1 = min(p1, mostGray)
-	if p0 >= p1/1.2 {
+	if p0 > p1/leastContrast {
 		return 0, 0, false
 	}
 	return math.Log((1 - p1) / (1 - p0)), math.Log(p1 / p0), true
 }
 
+// alarm is a crossed threshold that waits for the reports of the other servers.
+type alarm struct {
+	row  int32
+	sign sign
+}
+
+// ripeAlarms decides about the alarms that are old enough. A fault of the whole pool
+// or a route reaches the coordinator from some servers earlier than from others.
+func (c *coord) ripeAlarms(now fleet.Time) {
+	c.alarms = slices.DeleteFunc(c.alarms, func(a alarm) bool {
+		r := &c.pool.rows[a.row].co
+		if r.alarmAt[a.sign] == 0 {
+			return true
+		}
+		if now.Sub(r.alarmAt[a.sign]) >= alarmRipe {
+			c.alarm(now, a.row, a.sign)
+		}
+		return r.alarmAt[a.sign] == 0
+	})
+}
+
 // alarm decides what a crossed threshold means: a gray server, a path fault, or
 // nothing that concerns the server.
 func (c *coord) alarm(now fleet.Time, i int32, s sign) {
@@ -182,8 +215,16 @@
 		c.propose(now, i, s, recent)
 	case originPath:
 		c.pathFault(now, i, s, group)
-	case originCaller:
-		r.score[s], r.seen[s] = 0, 0
+	case originOpen:
+		c.consult(now, i, group)
+	}
+}
+
+// newRun starts the sequential test again.
+func (r *coordRow) newRun(s sign) {
+	r.score[s], r.seen[s], r.alarmAt[s] = 0, 0, 0
+	for k := range r.sources {
+		r.sources[k].run[s] = 0
 	}
 }
 
@@ -200,6 +241,8 @@
 		if !ok {
 			continue
 		}
+		n, bad := others(&re.total.new[s], &own.new[s])
+		p0 = max(p0, (bad+priorBad)/(n+priorN))
 		if good, evil, ok := ratios(p0, s); ok {
 			t := &own.fast[s]
 			sum += t.bad*evil + (t.n-t.bad)*good
@@ -214,79 +257,63 @@
 const (
 	originServer origin = iota
 	originPath          // only some clients see it while others do not
+	originOpen          // more evidence from other clients is needed
 	originCaller        // the client sees it on other servers too
 )
 
 // origin tells a gray server from a fault between some clients and the server, and
-// from callers whose requests fail wherever they go.
+// from callers whose requests fail wherever they go. It compares the evidence of one
+// VM, and of one zone's VMs, with that of all others in the current run.
 func (c *coord) origin(now fleet.Time, i int32, s sign) ([]*creditClient, origin) {
 	r := &c.pool.rows[i].co
-	var all tally
-	var worst *source
+	total := 0.0
+	worst := -1
 	for k := range r.sources {
-		t := &r.sources[k].seen[s]
-		t.decay(now, sourceWindow)
-		all.n += t.n
-		all.bad += t.bad
-		if worst == nil || t.bad > worst.seen[s].bad {
-			worst = &r.sources[k]
+		total += r.sources[k].run[s]
+		if worst < 0 || r.sources[k].run[s] > r.sources[worst].run[s] {
+			worst = k
 		}
 	}
-	if worst == nil {
-		return nil, originCaller
+	if worst < 0 {
+		return nil, originOpen
 	}
-	if w := worst.seen[s]; w.bad > oneClient*all.bad {
-		elseN, elseBad := c.elsewhere(now, worst.client, i, s)
-		if elseN >= leastElse && elseBad/elseN*leastRatio > w.bad/w.n {
+	w := &r.sources[worst]
+	if rest := total - w.run[s]; rest < otherSupport {
+		if c.sameElsewhere(now, w, s) {
 			return nil, originCaller
 		}
-		if differs(all.n-w.n, all.bad-w.bad, w.n, w.bad) || c.liveClients() > 1 && all.n-w.n < leastCompare {
-			return []*creditClient{worst.client}, originPath
+		if rest <= otherDenial && w.run[s] >= threshold {
+			return []*creditClient{w.client}, originPath
 		}
-		if elseN < leastElse {
-			return nil, originCaller
+		if c.liveClients() > 1 {
+			return []*creditClient{w.client}, originOpen
 		}
 	}
-	zone := worst.client.zone
-	var in tally
+	in := 0.0
 	var group []*creditClient
 	for k := range r.sources {
-		if src := &r.sources[k]; src.client.zone == zone {
-			in.n += src.seen[s].n
-			in.bad += src.seen[s].bad
+		if src := &r.sources[k]; src.client.zone == w.client.zone {
+			in += src.run[s]
 			group = append(group, src.client)
 		}
 	}
-	if in.bad > oneZone*all.bad && c.otherZones(zone) {
-		if differs(all.n-in.n, all.bad-in.bad, in.n, in.bad) || all.n-in.n < leastCompare {
+	if rest := total - in; rest < otherSupport && c.otherZones(w.client.zone) {
+		if rest <= otherDenial && in >= threshold {
 			return group, originPath
 		}
+		return group, originOpen
 	}
 	return nil, originServer
 }
 
-// differs reports whether enough others show a clearly lower bad rate.
-func differs(n, bad, ownN, ownBad float64) bool {
-	return n >= leastCompare && bad/n*leastRatio < ownBad/ownN
-}
-
-// elsewhere returns what a client saw on other servers.
-func (c *coord) elsewhere(now fleet.Time, cc *creditClient, except int32, s sign) (n, bad float64) {
-	for i := range c.pool.rows {
-		if int32(i) == except {
-			continue
-		}
-		r := &c.pool.rows[i].co
-		for k := range r.sources {
-			if r.sources[k].client == cc {
-				t := &r.sources[k].seen[s]
-				t.decay(now, sourceWindow)
-				n += t.n
-				bad += t.bad
-			}
-		}
-	}
-	return n, bad
+// sameElsewhere reports whether a client sees on other servers what it sees on this
+// one, or has not seen enough of them to tell.
+func (c *coord) sameElsewhere(now fleet.Time, src *source, s sign) bool {
+	all, own := &src.client.seen[s], &src.seen[s]
+	all.decay(now, sourceWindow)
+	own.decay(now, sourceWindow)
+	n, bad := others(all, own)
+	return n < leastElse || own.n == 0 || bad/n*leastRatio > own.bad/own.n
 }
 
 func (c *coord) liveClients() int {
@@ -309,6 +336,34 @@
 	return false
 }
 
+// consult moves a suspect server's work from the VMs that reported it to others, so
+// that their evidence tells soon whether the server or the path is at fault.
+func (c *coord) consult(now fleet.Time, i int32, group []*creditClient) {
+	r := &c.pool.rows[i]
+	if len(group) == 0 || now.Sub(r.co.consulted) < consultEvery {
+		return
+	}
+	r.co.consulted = now
+	for _, cc := range group {
+		l := cc.lendOf(i)
+		l.avoidUntil = max(l.avoidUntil, now.Add(consultAvoid))
+		if l.target > 0 {
+			c.setTarget(cc, l, 0, 0)
+		}
+	}
+	free := min(consultVMs, c.slots(now, r)-r.co.lent-r.co.reserved)
+	for range c.clients {
+		c.turn++
+		cc := c.clients[c.turn%len(c.clients)]
+		if free <= 0 || !cc.live() || cc.used == 0 && cc.spare == 0 || slices.Contains(group, cc) || cc.avoids(now, i) {
+			continue
+		}
+		l := cc.lendOf(i)
+		c.setTarget(cc, l, l.target+1, l.targetLong)
+		free--
+	}
+}
+
 // pathFault keeps the clients that see the fault away from the server; for the
 // others it stays in use.
 func (c *coord) pathFault(now fleet.Time, i int32, s sign, group []*creditClient) {
@@ -317,10 +372,8 @@
 	for _, cc := range group {
 		detail["zone"] = string(cc.zone)
 		c.avoid(now, cc, i)
-		src := r.co.source(cc)
-		src.seen[s] = tally{}
 	}
-	r.co.score[s], r.co.seen[s] = 0, 0
+	r.co.newRun(s)
 	if r.co.told == 0 || now.Sub(r.co.told) > eventSpacing {
 		r.co.told = now
 		c.p.event(EventPathFault, c.pool.id, r.server.ID, "only some VMs see the fault", detail)
--- a/pkg/pool/eject.go
+++ b/pkg/pool/eject.go
@@ -78,8 +78,7 @@
 // propose ejects a server if the floor allows it and the copy accepts it.
 func (c *coord) propose(now fleet.Time, i int32, s sign, recent float64) {
 	r := &c.pool.rows[i]
-	role, version := c.p.cfg.Authority.Role(c.pool.shard)
-	if role != shard.RoleOwner || version != c.version || now < c.ejectAt || !r.open(now) {
+	if c.role != shard.RoleOwner || !c.acting() || now < c.ejectAt || !r.open(now) {
 		return
 	}
 	if e := r.co.ej; e != nil && e.phase != phaseEnded {
@@ -145,7 +144,7 @@
 	if e.row >= 0 {
 		r := &c.pool.rows[e.row].co
 		r.suspect, r.ramping = false, false
-		r.score, r.seen, r.sources = [signs]float64{}, [signs]int{}, nil
+		r.score, r.seen, r.alarmAt, r.sources = [signs]float64{}, [signs]int{}, [signs]fleet.Time{}, nil
 		for _, re := range c.routes {
 			re.drop(now, e.row)
 		}
--- a/pkg/pool/evidence.go
+++ b/pkg/pool/evidence.go
@@ -95,6 +95,7 @@
 
 // Windows of the coordinator's evidence.
 const (
+	newWindow    = 300 * time.Millisecond
 	fastWindow   = 2 * time.Second
 	slowWindow   = 30 * time.Second
 	sourceWindow = 5 * time.Second
@@ -149,15 +150,17 @@
 	return e.OK + e.Slow, e.Slow
 }
 
-// windows are the fast and the slow window of one thing's outcomes.
-type windows struct{ fast, slow [signs]tally }
+// windows are the outcomes of one thing at three time scales.
+type windows struct{ new, fast, slow [signs]tally }
 
 func (w *windows) add(now fleet.Time, s sign, n, bad int) {
+	w.new[s].add(now, newWindow, n, bad)
 	w.fast[s].add(now, fastWindow, n, bad)
 	w.slow[s].add(now, slowWindow, n, bad)
 }
 
 func (w *windows) decay(now fleet.Time, s sign) {
+	w.new[s].decay(now, newWindow)
 	w.fast[s].decay(now, fastWindow)
 	w.slow[s].decay(now, slowWindow)
 }
@@ -172,6 +175,7 @@
 type source struct {
 	client *creditClient
 	seen   [signs]tally
+	run    [signs]float64 // its part of the score since the run began
 }
 
 // forgetEvidence drops what is known about a row that is reused for another server.
--- a/pkg/pool/grant.go
+++ b/pkg/pool/grant.go
@@ -50,9 +50,12 @@
 func (c *coord) findRow(now fleet.Time, cc *creditClient, long bool) (int32, bool) {
 	best, bestCost := int32(-1), math.MaxFloat64
 	n := len(c.pool.order)
-	scanned := 0
+	if n == 0 {
+		return -1, false
+	}
+	scanned, from := 0, c.p.rng.IntN(n)
 	for k := 0; k < n && scanned < scanRows; k++ {
-		i := c.pool.order[(c.cursor+k)%n]
+		i := c.pool.order[(from+k)%n]
 		r := &c.pool.rows[i]
 		slots := c.slots(now, r)
 		if slots-r.co.lent-r.co.reserved <= 0 || long && r.co.lentLong >= c.longSlots(slots) {
@@ -70,9 +73,6 @@
 			best, bestCost = i, cost
 		}
 	}
-	if best >= 0 {
-		c.cursor = (c.cursor + 1) % n
-	}
 	return best, best >= 0
 }
 
--- /dev/null
+++ b/pkg/pool/peak_test.go
@@ -0,0 +1,130 @@
+package pool
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+)
+
+// bestWeight returns the weight that one scheduler with full knowledge of all work
+// times serves on the same slots: it starts the waiting work with the highest weight
+// per second that can still meet its deadline. The trip to the server and back takes
+// up the slot for it too.
+func bestWeight(arrivals []*request, slots int, from, to fleet.Time) float64 {
+	trip := 2 * netHop / 3
+	var free simHeap // ends of running work
+	var waiting []*request
+	weight, next, now := 0.0, 0, fleet.Time(0)
+	density := func(q *request) float64 { return q.route.weight / (q.took + trip).Seconds() }
+	for next < len(arrivals) || len(waiting) > 0 {
+		for len(free) > 0 && free[0].at <= now {
+			heap.Pop(&free)
+		}
+		for next < len(arrivals) && arrivals[next].since <= now {
+			q := arrivals[next]
+			k, _ := slices.BinarySearchFunc(waiting, q, func(a, b *request) int { return cmp.Compare(density(a), density(b)) })
+			waiting = slices.Insert(waiting, k, q)
+			next++
+		}
+		for len(free) < slots && len(waiting) > 0 {
+			q := waiting[len(waiting)-1]
+			waiting = waiting[:len(waiting)-1]
+			if end := now.Add(q.took + trip); end <= q.work.Deadline {
+				heap.Push(&free, simEvent{at: end, seq: int(q.work.ID)})
+				if q.since >= from && q.since < to {
+					weight += q.route.weight
+				}
+			}
+		}
+		at := fleet.Time(1<<63 - 1)
+		if next < len(arrivals) {
+			at = arrivals[next].since
+		}
+		if len(free) > 0 && (len(waiting) > 0 || next >= len(arrivals)) {
+			at = min(at, free[0].at)
+		}
+		if at == 1<<63-1 {
+			break
+		}
+		now = at
+	}
+	return weight
+}
+
+// Guards against a crest in which light work takes slots from heavy work, slots stand
+// idle, or the backlog outlasts the crest: twice the capacity for 5 s.
+func TestPeakServesTheWeight(t *testing.T) {
+	for seed := range uint64(4) {
+		s := newSim(t, seed, 12, 20, usualFloor, PolicyCredits)
+		s.routes = []simRoute{
+			{name: "browse", work: 20 * ms, spread: 0.3, weight: 1, share: 0.6, deadline: 1500 * ms},
+			{name: "order", work: 25 * ms, spread: 0.3, weight: 4, share: 0.3, deadline: 3 * time.Second, once: true},
+			{name: "pay", work: 15 * ms, spread: 0.3, weight: 20, share: 0.1, deadline: 5 * time.Second, once: true},
+		}
+		capacity := 120 / (0.6*0.021 + 0.3*0.026 + 0.1*0.016) // without the trip
+		s.onTick = s.checkSlots
+		s.rate = 0.5 * capacity
+		s.run(8 * time.Second)
+		from := s.now
+		s.rate, s.measureFrom = 2*capacity, s.now
+		s.run(5 * time.Second)
+		s.rate = 0.5 * capacity
+		to := s.now
+		s.run(2 * time.Second)
+		after := s.now
+		s.waits = map[string][]time.Duration{}
+		s.run(3 * time.Second)
+		best := bestWeight(s.arrivals, 120, from, to)
+		got := 0.0
+		for _, q := range s.arrivals {
+			if q.since >= from && q.since < to && q.ok {
+				got += q.route.weight
+			}
+		}
+		var late []time.Duration
+		for _, q := range s.arrivals {
+			if q.since > after && q.ok {
+				late = append(late, q.queued)
+			}
+		}
+		t.Logf("seed %d: weight %.0f of %.0f (%.1f%%), sheds %d of %d, p99 wait from 2 s after the crest %v", seed, got, best, 100*got/best, s.sheds, s.done, quantile(late, 0.99))
+		require.GreaterOrEqual(t, got, 0.95*best)
+		require.Less(t, float64(s.sheds), 0.01*float64(s.done))
+		require.Less(t, quantile(late, 0.99), 10*ms)
+		require.Zero(t, s.count(EventEjected))
+	}
+}
+
+// Guards against short work that waits behind stragglers and behind long work.
+func TestShortWorkIsNotBlocked(t *testing.T) {
+	p99 := func(seed uint64, stragglers float64, long bool) time.Duration {
+		s := newSim(t, seed, 12, 20, usualFloor, PolicyCredits)
+		s.stragg = stragglers
+		mean := 0.0209 * (1 + 49*stragglers)
+		if s.routes[0].share = 1; long {
+			s.routes[0].share = 0.98
+			s.routes = append(s.routes, simRoute{name: "report", work: time.Second, spread: 0.2, weight: 1, share: 0.02, length: document.LengthLong, deadline: 20 * time.Second})
+			mean = 0.98*mean + 0.02*1.02
+		}
+		s.rate = 0.7 * 120 / mean
+		s.onTick = s.checkSlots
+		s.run(10 * time.Second)
+		s.measureFrom = s.now
+		s.run(20 * time.Second)
+		require.Zero(t, s.sheds)
+		return quantile(s.waits["menu"], 0.99)
+	}
+	for seed := range uint64(3) {
+		plain, stragglers, long := p99(seed, 0, false), p99(seed, 0.05, false), p99(seed, 0, true)
+		t.Logf("seed %d: p99 wait %v plain, %v with stragglers, %v beside long work", seed, plain, stragglers, long)
+		require.LessOrEqual(t, stragglers, 2*plain)
+		require.LessOrEqual(t, long, 2*plain)
+	}
+}
--- a/pkg/pool/pools.go
+++ b/pkg/pool/pools.go
@@ -188,7 +188,7 @@
 		}
 	case *Redirect:
 		if pl := p.pools[m.Pool]; pl != nil {
-			pl.client.onRedirect(p.now, m)
+			pl.client.onRedirect(m)
 		}
 	case *Replicate:
 		p.onReplicate(from, m)
@@ -202,7 +202,7 @@
 func (p *Pools) onSync(from fleet.Member, m *Sync) {
 	pl := p.pools[m.Pool]
 	if pl != nil && pl.coord != nil {
-		if role, _ := p.cfg.Authority.Role(pl.shard); role == pl.coord.role {
+		if pl.coord.acting() {
 			pl.coord.onSync(p.now, from, m)
 			return
 		}
--- a/pkg/pool/readmit.go
+++ b/pkg/pool/readmit.go
@@ -154,7 +154,9 @@
 	})
 	c.endEjection(now, e)
 	r.ramping, r.rampAt = true, rampAt
-	r.score, r.seen = [signs]float64{}, [signs]int{}
+	for s := range signs {
+		r.newRun(s)
+	}
 }
 
 // rampSlots returns the slots of a server during slow start: a sixth, a third, two
--- a/pkg/pool/replica.go
+++ b/pkg/pool/replica.go
@@ -108,6 +108,11 @@
 	}
 	role, version := p.cfg.Authority.Role(pl.shard)
 	view, ok := p.cfg.Authority.View(pl.shard)
+	if ok && view.Version > m.Version {
+		// A former owner that does not know it yet.
+		p.send(from.VM, &Redirect{m.Pool, view.Version, view.Owner, view.Copy})
+		return
+	}
 	if role != shard.RoleCopy || version != m.Version || !ok || view.Owner != from || m.Seq <= pl.coord.repSeq && pl.coord.version == m.Version {
 		return
 	}
@@ -118,8 +123,7 @@
 
 // onReplicateAck puts the proposals into force that the copy has accepted.
 func (c *coord) onReplicateAck(now fleet.Time, from fleet.Member, m *ReplicateAck) {
-	role, version := c.p.cfg.Authority.Role(c.pool.shard)
-	if role != shard.RoleOwner || version != m.Version || c.version != m.Version || from != c.copyOf {
+	if c.role != shard.RoleOwner || !c.acting() || c.version != m.Version || from != c.copyOf {
 		return
 	}
 	c.repAcked = max(c.repAcked, m.Seq)
