--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -64,7 +64,10 @@
 	for try := 0; ; try++ {
 		d := x.acquire(try > 0, tried)
 		if d.Code != result.OK {
-			return better(best, notRun(d.Code, 0, "no slot at a server of %s", x.route.Route.Service))
+			if best != nil { // why the earlier attempt failed says more than the lack of another server
+				return best
+			}
+			return notRun(d.Code, 0, "no slot at a server of %s", x.route.Route.Service)
 		}
 		out := x.attempt(base, d)
 		best = better(best, out)
@@ -239,6 +242,7 @@
 	return req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:              func(i httptrace.GotConnInfo) { f.gotConn(i.Conn, i.Reused) },
 		GotFirstResponseByte: f.firstResponseByte,
+		PutIdleConn:          f.putIdle,
 		Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
 			x.out.informational(f, status, http.Header(h))
 			return nil
@@ -284,7 +288,7 @@
 		return x.crossed("bytes of another answer were on the connection")
 	case f.read.Load() == 0:
 		return failed(result.AnswerLost, pool.EndFailed, "%v", err).retryable()
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF), errors.As(err, &ne):
+	case f.ended.Load(), errors.As(err, &ne):
 		return failed(result.AnswerTruncated, pool.EndFailed, "%v", err).retryable()
 	}
 	return failed(result.AnswerMalformed, pool.EndFailed, "%v", err).retryable()
@@ -326,14 +330,15 @@
 	if f.stale.Load() {
 		return drop(x.crossed("the answer was on the connection before the request"))
 	}
+	if resp.StatusCode < 200 {
+		return drop(failed(result.AnswerMalformed, pool.EndFailed, "unexpected status %d", resp.StatusCode))
+	}
 	if echo := x.service.EchoHeader; echo != "" {
 		if v := resp.Header.Values(echo); len(v) != 1 || v[0] != sentID {
 			return drop(x.crossed("the echoed request id differs"))
 		}
 	}
 	switch {
-	case resp.StatusCode < 200:
-		return drop(failed(result.AnswerMalformed, pool.EndFailed, "unexpected status %d", resp.StatusCode))
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerShed) == "1":
 		return decline(pool.EndShed, "the server shed the request")
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerDeclined) != "":
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -29,6 +29,7 @@
 	read    atomic.Int64 // bytes read after the first byte was written
 	conns   atomic.Int32 // connections that the transport chose; more than one is a repeat
 	stale   atomic.Bool  // the answer's first byte was read before the request's first byte was written
+	ended   atomic.Bool  // the connection's end or an error was read after the first byte was written
 
 	mu      sync.Mutex
 	started bool  // a byte was let through and not refused by the kernel
@@ -37,6 +38,16 @@
 	conn    *serverConn
 }
 
+// putIdle is called when the transport offers the connection to other requests.
+func (f *flight) putIdle(err error) {
+	f.mu.Lock()
+	c := f.conn
+	f.mu.Unlock()
+	if err == nil && c != nil {
+		c.release(f)
+	}
+}
+
 // distrust closes the connection of a doubtful answer, unless another request has
 // begun on it: http.Transport offers a connection again before it returns an answer
 // without a body.
@@ -132,6 +143,7 @@
 
 	mu     sync.Mutex
 	owner  *flight
+	idle   bool // the owner's answer was read to its end
 	began  bool // the owner's first byte was let through
 	refuse bool // the owner already used another connection
 	reused bool
@@ -149,7 +161,16 @@
 func (c *serverConn) own(f *flight, refuse, reused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.owner, c.began, c.refuse, c.reused = f, false, refuse, reused
+	c.owner, c.began, c.refuse, c.reused, c.idle = f, false, refuse, reused, false
+}
+
+// release marks the connection idle unless another request took it meanwhile.
+func (c *serverConn) release(f *flight) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.owner == f {
+		c.idle = true
+	}
 }
 
 func (c *serverConn) distrust(f *flight) {
@@ -245,14 +266,21 @@
 		if err == syscall.EAGAIN {
 			return false
 		}
-		if n > 0 && c.began {
+		switch {
+		case n > 0 && c.idle:
+			n, err, c.doubt = 0, errStrayBytes, true
+		case n > 0 && c.began:
 			c.owner.read.Add(int64(n))
+		case c.began:
+			c.owner.ended.Store(true)
 		}
 		return true
 	})
 	switch {
 	case rawErr != nil:
 		return 0, rawErr
+	case err == errStrayBytes:
+		return 0, err
 	case err != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
 	case n == 0:
--- /dev/null
+++ b/pkg/proxy/harness_test.go
@@ -0,0 +1,316 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/keys"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+	"github.com/fulmarbeam/fulmarbeam/pkg/standin"
+)
+
+// patience bounds waits for a condition; it is never part of a verdict.
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) {
+	log.SetOutput(StandardLog(logr.Discard()))
+	os.Exit(m.Run())
+}
+
+// fakeEngine hands out the servers in order and records what the proxy reports.
+type fakeEngine struct {
+	mu       sync.Mutex
+	origin   time.Time
+	servers  []fleet.Server
+	next     int
+	refuse   result.Code
+	budget   int
+	works    []pool.Work
+	ends     []pool.End
+	open     int
+	finished []keys.FinishState
+	kept     []*keys.Answer
+	late     bool // reservations come with a dispatch limit in the past
+	byKey    map[string]keys.Decision
+	draining atomic.Bool
+	ids      atomic.Uint64
+}
+
+func (e *fakeEngine) Now() fleet.Time         { return fleet.Time(time.Since(e.origin)) }
+func (e *fakeEngine) Routes() *document.Index { return nil }
+func (e *fakeEngine) NextWork() pool.WorkID   { return pool.WorkID(e.ids.Add(1)) }
+func (e *fakeEngine) Record(fleet.Event)      {}
+func (e *fakeEngine) Draining() bool          { return e.draining.Load() }
+
+func (e *fakeEngine) Acquire(ctx context.Context, w pool.Work) pool.Decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.works = append(e.works, w)
+	if ctx.Err() != nil {
+		return pool.Decision{Code: result.CallerGone}
+	}
+	if e.refuse != 0 {
+		return pool.Decision{Code: e.refuse}
+	}
+	for range e.servers {
+		s := e.servers[e.next%len(e.servers)]
+		e.next++
+		excluded := false
+		for _, x := range w.Exclude {
+			excluded = excluded || x == s.ID
+		}
+		if !excluded {
+			e.open++
+			return pool.Decision{Work: w.ID, Server: s}
+		}
+	}
+	return pool.Decision{Code: result.NoServer}
+}
+
+func (e *fakeEngine) Release(_ pool.WorkID, end pool.End) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.open--
+	e.ends = append(e.ends, end)
+}
+
+func (e *fakeEngine) MayRetry(fleet.Service) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget--
+	return e.budget >= 0
+}
+
+func (e *fakeEngine) Reserve(_ context.Context, _ string, scope keys.Scope, _ uint64, _ fleet.Time) keys.Decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if d, ok := e.byKey[scope.Key]; ok {
+		return d
+	}
+	by := e.Now().Add(2 * time.Second)
+	if e.late {
+		by = 1
+	}
+	return keys.Decision{Reserve: 1, Verdict: keys.VerdictRun, DispatchBy: by}
+}
+
+func (e *fakeEngine) Finish(_ keys.ReserveID, s keys.FinishState, a *keys.Answer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.finished, e.kept = append(e.finished, s), append(e.kept, a)
+}
+
+func (e *fakeEngine) lastEnd() pool.EndState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.ends) == 0 {
+		return 0
+	}
+	return e.ends[len(e.ends)-1].State
+}
+
+func (e *fakeEngine) states() []keys.FinishState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]keys.FinishState(nil), e.finished...)
+}
+
+func (e *fakeEngine) idle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.open == 0
+}
+
+// fakeTable matches routes by the longest path prefix.
+type fakeTable struct {
+	routes  map[string]document.Route
+	service document.Service
+}
+
+func (f *fakeTable) Route(_, path, _ string) (document.RouteMatch, result.Code) {
+	best := ""
+	for prefix := range f.routes {
+		if strings.HasPrefix(path, prefix) && len(prefix) > len(best) {
+			best = prefix
+		}
+	}
+	if best == "" {
+		return document.RouteMatch{}, result.NoRoute
+	}
+	return document.RouteMatch{Name: best, Route: f.routes[best]}, result.OK
+}
+
+func (f *fakeTable) Service(fleet.Service) (document.Service, bool) { return f.service, true }
+
+func (f *fakeTable) Workspace(name string) (document.Workspace, bool) {
+	return document.Workspace{Home: "addis", Weight: 3}, name == "kolfe"
+}
+
+// rig is a proxy on loopback with stand-in servers behind it.
+type rig struct {
+	t        testing.TB
+	engine   *fakeEngine
+	table    *fakeTable
+	proxy    *Proxy
+	addr     string
+	backends []*standin.Backend
+	client   *http.Client
+	ids      atomic.Int64
+}
+
+type rigOptions struct {
+	backends int
+	echo     string
+	retries  int
+	budget   int
+	limits   Limits
+	slots    int
+	addrs    []string // servers besides the stand-ins
+}
+
+func newRig(t testing.TB, o rigOptions) *rig {
+	r := &rig{t: t, engine: &fakeEngine{origin: time.Now(), budget: o.budget, byKey: map[string]keys.Decision{}}}
+	addrs := o.addrs
+	for i := range o.backends {
+		b, err := standin.StartBackend(standin.BackendConfig{Name: "s" + strconv.Itoa(i), Echo: o.echo, Seed: uint64(i), Slots: o.slots})
+		require.NoError(t, err)
+		t.Cleanup(b.Close)
+		r.backends = append(r.backends, b)
+		addrs = append(addrs, b.Addr())
+	}
+	for i, a := range addrs {
+		r.engine.servers = append(r.engine.servers, fleet.Server{
+			ID: fleet.ServerID("s" + strconv.Itoa(i)), Service: "ticket-desk", Addr: a, Region: "hawassa"})
+	}
+	const deadline = document.Duration(20 * time.Second)
+	r.table = &fakeTable{service: document.Service{EchoHeader: o.echo}, routes: map[string]document.Route{
+		"/menu":  {Service: "ticket-desk", Idempotent: true, Retries: o.retries, Deadline: deadline},
+		"/book":  {Service: "ticket-desk", Retries: o.retries, Deadline: deadline, MaxBody: 1 << 20, WorkspaceHeader: "X-Workspace"},
+		"/tight": {Service: "ticket-desk", Retries: o.retries, Deadline: document.Duration(300 * time.Millisecond)},
+		"/tiny":  {Service: "ticket-desk", Deadline: deadline, MaxBody: 10},
+		"/keyed": {Service: "ticket-desk", Deadline: deadline, Key: document.KeyRequired},
+	}}
+	var err error
+	r.proxy, err = New(Config{Engine: r.engine, Region: "addis", Limits: o.limits, Table: func() RouteTable { return r.table }})
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.addr = l.Addr().String()
+	server := r.proxy.NewServer()
+	go func() { _ = r.proxy.Serve(server, l) }()
+	tr := &http.Transport{MaxIdleConnsPerHost: 64}
+	r.client = &http.Client{Transport: tr, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	t.Cleanup(func() {
+		tr.CloseIdleConnections()
+		server.Close()
+		r.proxy.Close()
+	})
+	return r
+}
+
+// reply is what a caller saw.
+type reply struct {
+	id      string
+	want    string // digest of the request
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+	err     error // no whole answer arrived
+}
+
+func (a reply) code() result.Code {
+	n, _ := strconv.Atoi(a.header.Get("Fulmar-Code"))
+	return result.Code(n)
+}
+
+// do sends a request with an id of its own and reads the answer.
+func (r *rig) do(ctx context.Context, method, path string, body io.Reader, header ...string) reply {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.addr+path, body)
+	require.NoError(r.t, err)
+	req.GetBody = nil // keeps the client from repeating the request itself
+	a := reply{id: "req-" + strconv.FormatInt(r.ids.Add(1), 10)}
+	req.Header.Set("X-Request-Id", a.id)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Add(header[i], header[i+1])
+	}
+	var sent []byte
+	if s, ok := body.(*strings.Reader); ok {
+		sent = make([]byte, s.Len())
+		_, _ = s.ReadAt(sent, 0)
+	}
+	a.want = standin.Digest(method, path, sent)
+	resp, err := r.client.Do(req)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	a.status, a.header, a.body, a.err, a.trailer = resp.StatusCode, resp.Header, string(b), err, resp.Trailer
+	return a
+}
+
+func (r *rig) post(path, body string, header ...string) reply {
+	return r.do(context.Background(), http.MethodPost, path, strings.NewReader(body), header...)
+}
+
+func (r *rig) get(path string, header ...string) reply {
+	return r.do(context.Background(), http.MethodGet, path, nil, header...)
+}
+
+// runs counts the request's runs over all servers.
+func (r *rig) runs(id string) int {
+	n := 0
+	for _, b := range r.backends {
+		n += len(b.Runs(id))
+	}
+	return n
+}
+
+// check holds a reply against the servers' ledgers: the invariants 2, 3 and 4 of
+// the design.
+func (r *rig) check(a reply, idempotent bool) {
+	r.t.Helper()
+	runs := r.runs(a.id)
+	if !idempotent {
+		require.LessOrEqual(r.t, runs, 1, "%s ran more than once", a.id)
+	}
+	if a.err != nil {
+		return // the caller knows that it has no whole answer
+	}
+	switch a.header.Get("Fulmar-Outcome") {
+	case string(result.OutcomeNotRun):
+		require.Zero(r.t, runs, "%s was told not-run (%s) but ran", a.id, a.code())
+	case string(result.OutcomeUnknown):
+	case "":
+		require.NotZero(r.t, runs, "%s was answered but did not run", a.id)
+		require.Equal(r.t, a.want, a.header.Get(standin.HeaderDigest), "%s got another request's answer", a.id)
+		if a.status == http.StatusOK && a.body != "" {
+			require.True(r.t, strings.HasPrefix(a.body, a.want), "%s got another body", a.id)
+		}
+	default:
+		r.t.Fatalf("%s: outcome %q", a.id, a.header.Get("Fulmar-Outcome"))
+	}
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, patience, 2*time.Millisecond, what)
+}
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"io"
 	"log"
 	"net"
 	"net/http"
@@ -22,18 +23,23 @@
 		IdleTimeout:                  p.limits.KeepAlive,
 		MaxHeaderBytes:               p.limits.HeaderBytes,
 		DisableGeneralOptionsHandler: true,
-		ErrorLog:                     log.New(logWriter{p.log}, "", 0),
+		ErrorLog:                     log.New(StandardLog(p.log), "", 0),
 	}
 }
 
 // Serve serves callers on l until the server is shut down. It wraps l with Listener.
 func (p *Proxy) Serve(s *http.Server, l net.Listener) error { return s.Serve(p.Listener(l)) }
 
-// logWriter passes net/http's log lines on.
+// StandardLog returns a writer for the standard library's logger. http.Transport
+// logs the bytes that a server sends unasked, which may be customers' data; the
+// writer cuts them off. Programs pass it to log.SetOutput.
+func StandardLog(l logr.Logger) io.Writer { return logWriter{l} }
+
 type logWriter struct{ log logr.Logger }
 
 // Write logs one line.
 func (w logWriter) Write(line []byte) (int, error) {
-	w.log.V(1).Info("http server", "message", strings.TrimSpace(string(line)))
+	text, _, _ := strings.Cut(string(line), " starting with ")
+	w.log.V(1).Info("net/http", "message", strings.TrimSpace(text))
 	return len(line), nil
 }
--- /dev/null
+++ b/pkg/proxy/wire_test.go
@@ -0,0 +1,321 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/keys"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+	"github.com/fulmarbeam/fulmarbeam/pkg/standin"
+)
+
+// scripted is a server that handles each request of a connection with a function; it
+// records the paths that arrived. The function returns false to close.
+type scripted struct {
+	ln   net.Listener
+	mu   sync.Mutex
+	seen []string
+}
+
+func startScripted(t *testing.T, handle func(c net.Conn, nth int, r *http.Request) bool) *scripted {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	s := &scripted{ln: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for nth := 0; ; nth++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					s.mu.Lock()
+					s.seen = append(s.seen, r.URL.Path)
+					s.mu.Unlock()
+					if !handle(c, nth, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *scripted) count(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, p := range s.seen {
+		if p == path {
+			n++
+		}
+	}
+	return n
+}
+
+const plainOK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against the hidden repeats of http.Transport: a server that closes a reused
+// connection at the moment of the next request must get that request once, also when
+// the method, an Idempotency-Key or an empty body would make net/http repeat it.
+func TestTransportDoesNotRepeatOnItsOwn(t *testing.T) {
+	cases := []struct{ method, body, key string }{
+		{"POST", "", "k"}, {"POST", "", ""}, {"POST", "x", "k"}, {"GET", "", ""}, {"DELETE", "", "k"}, {"PUT", "", "k"},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%s body %q key %q", c.method, c.body, c.key), func(t *testing.T) {
+			s := startScripted(t, func(conn net.Conn, nth int, r *http.Request) bool {
+				if nth > 0 {
+					return false
+				}
+				_, _ = conn.Write([]byte(plainOK))
+				return true
+			})
+			r := newRig(t, rigOptions{addrs: []string{s.ln.Addr().String()}, budget: 9, retries: 2})
+			require.Equal(t, 200, r.get("/menu/warm").status)
+			path := "/book/second"
+			var header []string
+			if c.key != "" {
+				header = []string{"Idempotency-Key", c.key}
+			}
+			a := r.do(context.Background(), c.method, path, strings.NewReader(c.body), header...)
+			require.Equal(t, result.AnswerLost, a.code(), a.body)
+			require.Equal(t, "unknown", a.header.Get("Fulmar-Outcome"))
+			require.Equal(t, 1, s.count(path))
+			if c.key != "" {
+				require.Equal(t, []keys.FinishState{keys.FinishUnknown}, r.engine.states())
+			}
+			require.Equal(t, 9, r.engine.budget, "no repeat was asked for")
+		})
+	}
+}
+
+// Guards against "unknown" for work that provably did not leave: a connection that
+// the server closed while it was idle is replaced without a repeat.
+func TestIdleConnectionClosedByServerIsReplaced(t *testing.T) {
+	r := newRig(t, rigOptions{backends: 1})
+	for i := range 50 {
+		a := r.post("/book", "x", "Idempotency-Key", "k")
+		r.check(a, false)
+		require.Equal(t, 200, a.status, a.body)
+		if i%2 == 0 {
+			r.backends[0].CloseIdle()
+		}
+	}
+}
+
+// Guards against an answer taken from bytes that were on the connection before the
+// request, without the help of an echoed id and without a body.
+func TestStrayAnswerIsNotTaken(t *testing.T) {
+	const stray = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+	for _, late := range []bool{false, true} {
+		written := make(chan struct{}, 1)
+		s := startScripted(t, func(conn net.Conn, nth int, r *http.Request) bool {
+			if late {
+				_, _ = conn.Write([]byte(plainOK))
+				time.Sleep(time.Millisecond)
+				_, _ = conn.Write([]byte(stray))
+			} else {
+				_, _ = conn.Write([]byte(plainOK + stray))
+			}
+			written <- struct{}{}
+			return true
+		})
+		r := newRig(t, rigOptions{addrs: []string{s.ln.Addr().String()}})
+		for range 100 {
+			a := r.post("/book", "x")
+			require.NotEqual(t, 404, a.status)
+			if late {
+				require.Equal(t, 200, a.status, a.body)
+			}
+			if a.code() != result.ServerUnreachable {
+				<-written // the stray bytes are at the proxy before the next request
+			}
+			require.Contains(t, []result.Code{0, result.AnswerCrossed, result.ServerUnreachable}, a.code())
+		}
+	}
+}
+
+// raw sends bytes to the proxy and returns all that comes back until it closes.
+func (r *rig) raw(parts ...string) string {
+	c, err := net.Dial("tcp", r.addr)
+	require.NoError(r.t, err)
+	defer c.Close()
+	for _, p := range parts {
+		_, _ = c.Write([]byte(p))
+	}
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	b, err := io.ReadAll(c)
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		r.t.Fatalf("the connection stayed open after %q", parts)
+	}
+	return string(b)
+}
+
+// Guards against request smuggling: each shape is refused with a 4xx and the
+// connection is closed, so that the hidden request is never served.
+func TestSmugglingShapesAreRefused(t *testing.T) {
+	r := newRig(t, rigOptions{backends: 1})
+	hidden := "GET /menu/hidden HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+	head := "POST /book HTTP/1.1\r\nHost: a\r\n"
+	cases := map[string]string{
+		"length and coding":     head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"coding and length":     head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n" + hidden,
+		"two lengths":           head + "Content-Length: 0\r\nContent-Length: 0\r\n\r\n" + hidden,
+		"length list":           head + "Content-Length: 0, 0\r\n\r\n" + hidden,
+		"signed length":         head + "Content-Length: +0\r\n\r\n" + hidden,
+		"folded header":         head + "X-A: b\r\n c\r\n\r\n" + hidden,
+		"folded coding":         head + "Transfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"space before colon":    head + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"two codings":           head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + hidden,
+		"coding list":           head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"old with coding":       "POST /book HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"bare line feed":        "POST /book HTTP/1.1\r\nHost: a\nContent-Length: 0\r\n\r\n" + hidden,
+		"bare carriage return":  head + "X-A: b\rContent-Length: 5\r\n\r\n" + hidden,
+		"chunk size sign":       head + "Transfer-Encoding: chunked\r\n\r\n+0\r\n\r\n" + hidden,
+		"chunk size hex prefix": head + "Transfer-Encoding: chunked\r\n\r\n0x0\r\n\r\n" + hidden,
+		"chunk size overflow":   head + "Transfer-Encoding: chunked\r\n\r\n10000000000000000\r\n" + hidden,
+		"chunk longer":          head + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n0\r\n\r\n" + hidden,
+		"chunk bare line feed":  head + "Transfer-Encoding: chunked\r\n\r\n0\n\n" + hidden,
+		"trailer length":        head + "Transfer-Encoding: chunked\r\n\r\n0\r\nContent-Length: 3\r\n\r\n" + hidden,
+		"two hosts":             "GET /menu HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n" + hidden,
+		"no host":               "GET /menu HTTP/1.1\r\n\r\n" + hidden,
+		"empty request line":    "\r\n" + hidden,
+		"header too large":      head + "X-A: " + strings.Repeat("a", 33<<10) + "\r\n\r\n" + hidden,
+		"upgrade":               "GET /menu HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, close\r\nUpgrade: h2c\r\n\r\n",
+		"connect":               "CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\nConnection: close\r\n\r\n",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			out := r.raw(text)
+			require.True(t, strings.HasPrefix(out, "HTTP/1.1 4"), out)
+			require.Equal(t, 1, strings.Count(out, "HTTP/1.1 "), "one answer only: %s", out)
+			require.Contains(t, out, "Fulmar-Outcome: not-run\r\n")
+		})
+	}
+	require.Zero(t, r.backends[0].Counts().Started)
+	// The same framing in proper form passes, pipelined and byte by byte.
+	proper := head + "Content-Length: 3\r\n\r\nabc" + head + "Transfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nX-T: v\r\n\r\n" + hidden
+	require.Equal(t, 3, strings.Count(r.raw(proper), "HTTP/1.1 200 OK"))
+	require.Equal(t, 3, strings.Count(r.raw(strings.Split(proper, "")...), "HTTP/1.1 200 OK"))
+}
+
+// Guards against callers that hold a connection by sending slowly.
+func TestSlowCallersAreCutOff(t *testing.T) {
+	r := newRig(t, rigOptions{backends: 1, limits: Limits{HeaderTime: 50 * time.Millisecond, BodyIdle: 50 * time.Millisecond}})
+	require.NotContains(t, r.raw("GET /menu HTTP/1.1\r\nHost: a\r\n"), "200")
+	out := r.raw("POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nab")
+	require.Contains(t, out, "Fulmar-Code: 1004\r\n")
+	out = r.raw("POST /book HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n")
+	require.Contains(t, out, "Fulmar-Code: 1004\r\n")
+	require.Zero(t, r.backends[0].Counts().Started)
+	// A slow body after the start of the stream ends the attempt, not as not-run.
+	out = r.raw("POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n" + strings.Repeat("a", 100000))
+	require.Contains(t, out, "Fulmar-Outcome: unknown\r\n")
+	eventually(t, "slot returned", r.engine.idle)
+	require.Zero(t, r.backends[0].Counts().Started)
+	// An idle limit that has passed after the body must not count as the caller's leaving.
+	require.Equal(t, 200, r.post("/book?work=200ms", "abc").status)
+	require.Equal(t, 200, r.post("/book?work=200ms", strings.Repeat("a", 200000)).status)
+}
+
+// Guards against bodies beyond the bound: refused before dispatch when the length or
+// the buffer shows it, and never told not-run after bytes left.
+func TestBodyBound(t *testing.T) {
+	r := newRig(t, rigOptions{backends: 1})
+	chunked := func(path string, n int) reply {
+		return r.do(context.Background(), "POST", path, io.MultiReader(strings.NewReader(strings.Repeat("a", n))))
+	}
+	for _, a := range []reply{r.post("/tiny", "12345678901"), chunked("/tiny", 11), r.post("/book", strings.Repeat("a", 1<<20+1))} {
+		require.NoError(t, a.err)
+		require.Equal(t, result.BodyTooLarge, a.code())
+		r.check(a, false)
+	}
+	a := chunked("/book", 2<<20)
+	if a.err == nil { // net/http's client may meet the closed connection while it writes
+		require.Equal(t, "unknown", a.header.Get("Fulmar-Outcome"), a.body)
+	}
+	eventually(t, "slot returned", r.engine.idle)
+	require.Zero(t, r.backends[0].Counts().Started)
+	for _, n := range []int{0, 1, 64 << 10, 64<<10 + 1, 1 << 20} {
+		body := strings.Repeat("b", n)
+		a := r.post("/book", body)
+		r.check(a, false)
+		require.Equal(t, 200, a.status)
+	}
+	require.Equal(t, 200, chunked("/book", 1<<20).status)
+	require.Equal(t, int64(64<<20), r.proxy.buffers.free, "buffers are given back")
+
+	r.proxy.buffers.take(64<<20 - 10)
+	require.Equal(t, result.BufferLimit, r.post("/book", "more than ten bytes").code())
+}
+
+// Guards the rule on callers that leave: idempotent work is cancelled at the server,
+// other work runs on and its key gets the answer.
+func TestCallerLeaves(t *testing.T) {
+	r := newRig(t, rigOptions{backends: 1})
+	leave := func(method, path string, header ...string) {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan reply)
+		before := r.backends[0].Counts().Started
+		go func() { done <- r.do(ctx, method, path, strings.NewReader(""), header...) }()
+		eventually(t, "work started", func() bool { return r.backends[0].Counts().Started > before })
+		cancel()
+		require.Error(t, (<-done).err)
+	}
+	leave("GET", "/menu?work=1h")
+	eventually(t, "work cancelled", func() bool { return r.backends[0].Counts().Cancelled == 1 })
+	eventually(t, "slot returned", r.engine.idle)
+	require.Equal(t, pool.EndAbandoned, r.engine.lastEnd())
+
+	leave("POST", "/book?work=200ms", "Idempotency-Key", "k")
+	eventually(t, "key finished", func() bool { return len(r.engine.states()) == 1 })
+	require.Equal(t, keys.FinishDone, r.engine.states()[0])
+	require.Equal(t, standin.Digest("POST", "/book?work=200ms", nil), string(r.engine.kept[0].Body))
+	require.Equal(t, 1, r.backends[0].Counts().Done)
+
+	leave("POST", "/book?work=200ms&size=200000", "Idempotency-Key", "k2")
+	eventually(t, "key finished", func() bool { return len(r.engine.states()) == 2 })
+	require.Equal(t, keys.FinishDone, r.engine.states()[1])
+	require.Nil(t, r.engine.kept[1], "too large to keep")
+}
+
+// Guards a shutdown that would interrupt a request in flight.
+func TestDrainWaitsForRequestsInFlight(t *testing.T) {
+	r := newRig(t, rigOptions{backends: 1})
+	done := make(chan reply, 1)
+	go func() { done <- r.post("/book?work=300ms", "x") }()
+	eventually(t, "work started", func() bool { return r.backends[0].Counts().Running == 1 })
+	r.engine.draining.Store(true)
+	a := r.get("/menu")
+	require.Equal(t, 200, a.status, "the load balancer lags")
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.Error(t, r.proxy.Drain(ended))
+	require.Equal(t, result.Draining, r.get("/menu").code())
+	require.NoError(t, r.proxy.Drain(context.Background()))
+	a = <-done
+	r.check(a, false)
+	require.Equal(t, 200, a.status)
+	require.Zero(t, r.proxy.InFlight())
+}
--- /dev/null
+++ b/pkg/standin/backend_test.go
@@ -0,0 +1,128 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func start(t *testing.T, c BackendConfig) *Backend {
+	b, err := StartBackend(c)
+	require.NoError(t, err)
+	t.Cleanup(b.Close)
+	return b
+}
+
+// single opens a connection for each request: on a reused one net/http's client
+// repeats a GET that the server cut off, which would count twice.
+var single = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func get(t *testing.T, url string, header ...string) (int, http.Header, string, error) {
+	req, err := http.NewRequest("GET", url, nil)
+	require.NoError(t, err)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := single.Do(req)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(body), err
+}
+
+// Guards the ledger that other tests trust: what ran, what was cancelled by the
+// caller or a deadline, what was shed beyond the slots, and what was declined.
+func TestLedgerRecordsWhatRan(t *testing.T) {
+	b := start(t, BackendConfig{Slots: 2, Echo: "X-Echo"})
+	url := "http://" + b.Addr()
+	status, h, body, err := get(t, url+"/a?size=40", "X-Request-Id", "r1.x", "Idempotency-Key", "k1")
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, "r1.x", h.Get("X-Echo"))
+	require.Len(t, body, 40)
+	require.True(t, strings.HasPrefix(body, Digest("GET", "/a?size=40", nil)))
+	require.Len(t, b.Runs("r1"), 1)
+	require.Equal(t, EndedDone, b.RunsOfKey("k1")[0].Ended)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	for range 2 {
+		go func() {
+			req, _ := http.NewRequestWithContext(ctx, "GET", url+"/hold?work=1h", nil)
+			_, _ = single.Do(req)
+		}()
+	}
+	require.Eventually(t, func() bool { return b.Counts().Running == 2 }, time.Minute, time.Millisecond)
+	status, h, _, _ = get(t, url+"/a", "X-Request-Id", "shed.x")
+	require.Equal(t, []any{503, "1"}, []any{status, h.Get("X-Fulmar-Shed")})
+	require.Empty(t, b.Runs("shed"))
+	cancel()
+	require.Eventually(t, func() bool { return b.Counts().Cancelled == 2 }, time.Minute, time.Millisecond)
+	_, _, _, err = get(t, url+"/a?work=1h", "X-Fulmar-Deadline-Ms", "20")
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return b.Counts().Cancelled == 3 }, time.Minute, time.Millisecond)
+	require.Equal(t, 2, b.Counts().PeakRunning)
+
+	b.Drain(true)
+	_, h, _, _ = get(t, url+"/a", "X-Request-Id", "declined.x")
+	require.Equal(t, []string{"1", "1"}, []string{h.Get("X-Fulmar-Declined"), h.Get("X-Fulmar-Draining")})
+	require.Empty(t, b.Runs("declined"))
+	b.Drain(false)
+}
+
+// Guards the gray modes that detection is tested with: probes pass while work fails,
+// the failing share follows the seed, a flapping server alternates, and the health
+// endpoint lags and lies.
+func TestGrayModes(t *testing.T) {
+	failures := func(seed uint64) string {
+		b := start(t, BackendConfig{Seed: seed})
+		b.SetMode(Mode{Fault: FaultError, FailShare: 0.3})
+		var out strings.Builder
+		for range 60 {
+			status, _, _, err := get(t, "http://"+b.Addr()+"/a")
+			require.NoError(t, err)
+			out.WriteByte("01"[status/500])
+		}
+		status, _, _, _ := get(t, "http://"+b.Addr()+"/health")
+		require.Equal(t, 200, status)
+		return out.String()
+	}
+	one := failures(5)
+	require.Equal(t, one, failures(5))
+	require.NotEqual(t, one, failures(6))
+	require.InDelta(t, 18, strings.Count(one, "1"), 12)
+
+	b := start(t, BackendConfig{})
+	control := httptest.NewServer(b.Control())
+	defer control.Close()
+	put := func(path, body string) int {
+		req, err := http.NewRequest("PUT", control.URL+path, strings.NewReader(body))
+		require.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	require.Equal(t, 204, put("/mode", `{"fault":"error","period":40000000}`))
+	seen := map[int]bool{}
+	require.Eventually(t, func() bool {
+		status, _, _, _ := get(t, "http://"+b.Addr()+"/a")
+		seen[status] = true
+		return seen[200] && seen[500]
+	}, time.Minute, time.Millisecond)
+	require.Equal(t, 400, put("/mode", `{"falt":"error"}`))
+	require.Equal(t, 204, put("/health", `{"status":500,"load":0.9,"lag":3600000000000}`))
+	status, _, _, _ := get(t, "http://"+b.Addr()+"/health")
+	require.Equal(t, 200, status, "the report lags")
+	require.Equal(t, 204, put("/health", `{"status":500,"load":0.9}`))
+	status, _, body, _ := get(t, "http://"+b.Addr()+"/health")
+	require.Equal(t, 500, status)
+	require.Contains(t, body, `"load":0.9`)
+}
