--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -64,7 +64,10 @@
 	for try := 0; ; try++ {
 		d := x.acquire(try > 0, tried)
 		if d.Code != result.OK {
-			return better(best, notRun(d.Code, 0, "no slot at a server of %s", x.route.Route.Service))
+			if best != nil { // why the earlier attempt failed says more than the lack of another server
+				return best
+			}
+			return notRun(d.Code, 0, "no slot at a server of %s", x.route.Route.Service)
 		}
 		out := x.attempt(base, d)
 		best = better(best, out)
@@ -197,8 +200,7 @@
 		}
 		started := f.seal()
 		refusal := f.refusal()
-		if !started && x.body.whole && tries <= x.p.limits.ConnsPerServer &&
-			(refusal == errServerHung || refusal == errStrayBytes) {
+		if f.deadConn() && ctx.Err() == nil && x.body.untouched() && tries <= x.p.limits.ConnsPerServer {
 			continue
 		}
 		if started {
@@ -222,7 +224,8 @@
 
 // request builds the request to the server.
 func (x *exchange) request(ctx context.Context, f *flight, s fleet.Server, sentID string) *http.Request {
-	body, length := x.body.reader()
+	trailer := endToEnd(x.r.Trailer)
+	body, length := x.body.reader(trailer)
 	header := x.serverHeader(sentID)
 	injectTrace(header, func(c propagation.TextMapCarrier) { propagator.Inject(ctx, c) })
 	u := &url.URL{Scheme: "http", Host: s.Addr, Path: x.r.URL.Path, RawPath: x.r.URL.RawPath,
@@ -231,14 +234,13 @@
 		Method: x.r.Method, URL: u, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: header, Body: body, ContentLength: length,
 	}
-	if len(x.r.Trailer) > 0 && length != 0 {
-		// net/http fills the values of x.r.Trailer when it meets the body's end, which
-		// is before the transport writes them. Trailers need the chunked coding.
-		req.Trailer, req.ContentLength = x.r.Trailer, -1
+	if len(trailer) > 0 && length != 0 {
+		req.Trailer, req.ContentLength = trailer, -1 // trailers need the chunked coding
 	}
 	return req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:              func(i httptrace.GotConnInfo) { f.gotConn(i.Conn, i.Reused) },
 		GotFirstResponseByte: f.firstResponseByte,
+		PutIdleConn:          f.putIdle,
 		Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
 			x.out.informational(f, status, http.Header(h))
 			return nil
@@ -260,6 +262,8 @@
 		return notRun(result.CallerGone, pool.EndAbandoned, "the caller left before dispatch")
 	case x.body.failure() != nil:
 		return notRun(x.bodyError(x.body.failure()).Code, pool.EndAbandoned, "body: %v", x.body.failure())
+	case f.deadConn():
+		return notRun(result.ServerUnreachable, pool.EndAbandoned, "%v", err).retryable()
 	case ctx.Err() != nil:
 		return notRun(result.ServerUnreachable, pool.EndUnreachable, "no connection before the deadline")
 	}
@@ -284,7 +288,7 @@
 		return x.crossed("bytes of another answer were on the connection")
 	case f.read.Load() == 0:
 		return failed(result.AnswerLost, pool.EndFailed, "%v", err).retryable()
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF), errors.As(err, &ne):
+	case f.ended.Load(), errors.As(err, &ne):
 		return failed(result.AnswerTruncated, pool.EndFailed, "%v", err).retryable()
 	}
 	return failed(result.AnswerMalformed, pool.EndFailed, "%v", err).retryable()
@@ -326,14 +330,15 @@
 	if f.stale.Load() {
 		return drop(x.crossed("the answer was on the connection before the request"))
 	}
+	if resp.StatusCode < 200 {
+		return drop(failed(result.AnswerMalformed, pool.EndFailed, "unexpected status %d", resp.StatusCode))
+	}
 	if echo := x.service.EchoHeader; echo != "" {
 		if v := resp.Header.Values(echo); len(v) != 1 || v[0] != sentID {
 			return drop(x.crossed("the echoed request id differs"))
 		}
 	}
 	switch {
-	case resp.StatusCode < 200:
-		return drop(failed(result.AnswerMalformed, pool.EndFailed, "unexpected status %d", resp.StatusCode))
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerShed) == "1":
 		return decline(pool.EndShed, "the server shed the request")
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerDeclined) != "":
