Add the command fulmarstandin

Cause: integration tests and new users need the stand-ins as processes. Change: commands platform, server and proxy, each printing its addresses. Conclusion: real processes can be put under faults.

--- /dev/null
+++ b/cmd/fulmarstandin/main.go
@@ -0,0 +1,159 @@
+// Command fulmarstandin serves simulated platform services, backend servers and
+// fault-injecting proxies on loopback, for tests and for trying a fleet out.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/faultproxy"
+	"github.com/fulmarbeam/fulmarbeam/pkg/standin"
+)
+
+const (
+	anyPort           = "127.0.0.1:0"
+	readHeaderTimeout = 10 * time.Second
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := newRoot().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+		os.Exit(1)
+	}
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "fulmarstandin",
+		Short:         "Simulated platform services, backend servers and faulty links on loopback",
+		Long:          "Each command prints one JSON line with the addresses that it serves and runs until SIGTERM.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newPlatform(), newServer(), newProxy())
+	return root
+}
+
+func newPlatform() *cobra.Command {
+	var logAddr, listAddr string
+	var lag time.Duration
+	cmd := &cobra.Command{
+		Use:     "platform",
+		Short:   "Serve a log service and a VM list",
+		Example: "  fulmarstandin platform --log 127.0.0.1:7001 --list 127.0.0.1:7002 --lag 2s",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			list := standin.NewVMList(standin.ListControl{LagMS: lag.Milliseconds()}, nil)
+			return serve(cmd.Context(), cmd.OutOrStdout(), map[string]endpoint{
+				"log":  {logAddr, standin.NewLog(standin.LogControl{}, nil).Handler()},
+				"list": {listAddr, list.Handler()},
+			}, nil)
+		},
+	}
+	cmd.Flags().StringVar(&logAddr, "log", anyPort, "address of the log service")
+	cmd.Flags().StringVar(&listAddr, "list", anyPort, "address of the VM list")
+	cmd.Flags().DurationVar(&lag, "lag", 0, "age of the VM list that readers see")
+	return cmd
+}
+
+func newServer() *cobra.Command {
+	cfg := standin.BackendConfig{}
+	var control string
+	cmd := &cobra.Command{
+		Use:     "server",
+		Short:   "Serve a backend server with slots, gray modes and a ledger",
+		Example: "  fulmarstandin server --name ticket-1 --slots 6 --work 20ms",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			b, err := standin.StartBackend(cfg)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			defer b.Close()
+			return serve(cmd.Context(), cmd.OutOrStdout(), map[string]endpoint{"control": {control, b.Control()}},
+				map[string]string{"server": b.Addr()})
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&cfg.Name, "name", "server", "name of the server")
+	flags.StringVar(&cfg.Addr, "addr", anyPort, "address for requests")
+	flags.StringVar(&control, "control", anyPort, "address of the control endpoint")
+	flags.IntVar(&cfg.Slots, "slots", 6, "requests that run at once")
+	flags.DurationVar(&cfg.Work.Median, "work", 0, "median work time")
+	flags.Float64Var(&cfg.Work.Sigma, "sigma", 0, "sigma of the work time's logarithm")
+	flags.Uint64Var(&cfg.Seed, "seed", 1, "seed of work times and faults")
+	flags.StringVar(&cfg.Echo, "echo", "", "response header that repeats X-Request-Id")
+	return cmd
+}
+
+func newProxy() *cobra.Command {
+	var target, control string
+	var seed uint64
+	cmd := &cobra.Command{
+		Use:     "proxy",
+		Short:   "Serve a TCP proxy that injects faults",
+		Example: "  fulmarstandin proxy --target 127.0.0.1:7101",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p, err := faultproxy.Start(target, seed)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			defer p.Close()
+			return serve(cmd.Context(), cmd.OutOrStdout(), map[string]endpoint{"control": {control, p.Control()}},
+				map[string]string{"proxy": p.Addr()})
+		},
+	}
+	cmd.Flags().StringVar(&target, "target", "", "address that connections go on to")
+	cmd.Flags().StringVar(&control, "control", anyPort, "address of the control endpoint")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of random faults")
+	_ = cmd.MarkFlagRequired("target")
+	return cmd
+}
+
+// endpoint is an HTTP handler and the address to serve it on.
+type endpoint struct {
+	addr    string
+	handler http.Handler
+}
+
+// serve prints the addresses and serves until ctx ends.
+func serve(ctx context.Context, out io.Writer, endpoints map[string]endpoint, addresses map[string]string) error {
+	failed := make(chan error, len(endpoints))
+	bound := make(map[string]string)
+	for name, addr := range addresses {
+		bound[name] = addr
+	}
+	for name, e := range endpoints {
+		l, err := net.Listen("tcp", e.addr)
+		if err != nil {
+			return errors.Annotate(err, name)
+		}
+		bound[name] = l.Addr().String()
+		server := &http.Server{Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout}
+		defer server.Close()
+		go func() { failed <- server.Serve(l) }()
+	}
+	if err := json.NewEncoder(out).Encode(bound); err != nil {
+		return errors.Trace(err)
+	}
+	select {
+	case err := <-failed:
+		return errors.Trace(err)
+	case <-ctx.Done():
+		return nil
+	}
+}
