proxy: refuse unknown expectations and a missing route table, test early answers

Cause: net/http answers unknown expectations itself without the fleet's headers; a document index without the look-ups would have shown only as not_ready at run time; an answer that precedes the end of a long upload was not tested. Change: the framing guard refuses expectations other than 100-continue; New fails without a usable route table; a test sends long uploads to a server that answers at once.

--- a/pkg/proxy/guard.go
+++ b/pkg/proxy/guard.go
@@ -297,6 +297,11 @@
 			return violation("bad Content-Length")
 		}
 		s.length = int64(n)
+	case is(name, "Expect"):
+		// net/http answers other expectations itself, without the fleet's headers.
+		if !strings.EqualFold(string(value), "100-continue") {
+			return violation("unknown expectation")
+		}
 	case is(name, "Transfer-Encoding"):
 		s.coding++
 		if s.coding > 1 || !strings.EqualFold(string(value), "chunked") {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -120,7 +120,8 @@
 	idle     chan struct{} // closed when inFlight reaches 0 after Drain was called
 }
 
-// New returns a Proxy. It fails without an Engine.
+// New returns a Proxy. It fails without an Engine, and without a Table while
+// document.Index has no look-ups of its own.
 func New(c Config) (*Proxy, error) {
 	if c.Engine == nil {
 		return nil, errors.NotValidf("proxy without an engine")
@@ -135,6 +136,9 @@
 		c.Logger = logr.Discard()
 	}
 	if c.Table == nil {
+		if _, ok := any((*document.Index)(nil)).(RouteTable); !ok {
+			return nil, errors.NotSupportedf("document.Index as the route table: set Config.Table")
+		}
 		c.Table = func() RouteTable { return indexTable(c.Engine.Routes()) }
 	}
 	limits := c.Limits.withDefaults()
--- a/pkg/proxy/wire_test.go
+++ b/pkg/proxy/wire_test.go
@@ -205,6 +205,7 @@
 		"empty request line":    "\r\n" + hidden,
 		"header too large":      head + "X-A: " + strings.Repeat("a", 33<<10) + "\r\n\r\n" + hidden,
 		"upgrade":               "GET /menu HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, close\r\nUpgrade: h2c\r\n\r\n",
+		"unknown expectation":   head + "Expect: 200-ok\r\nContent-Length: 0\r\n\r\n" + hidden,
 		"connect":               "CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\nConnection: close\r\n\r\n",
 	}
 	for name, text := range cases {
@@ -369,6 +370,24 @@
 	require.Equal(t, "end", string(rest))
 }
 
+// Guards against a slot that is kept, or a false proof of not run, when a server
+// answers before it has read a long upload.
+func TestEarlyAnswerToUpload(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		http.Error(w, "no", http.StatusUnauthorized)
+	}))
+	defer server.Close()
+	r := newRig(t, rigOptions{addrs: []string{server.Listener.Addr().String()}})
+	for range 20 {
+		a := r.post("/book", strings.Repeat("a", 1<<20))
+		if a.err == nil { // the caller's client may meet the closed connection first
+			require.Contains(t, []int{401, 502}, a.status)
+			require.NotEqual(t, "not-run", a.header.Get("Fulmar-Outcome"), a.body)
+		}
+	}
+	eventually(t, "slots returned", r.engine.idle)
+}
+
 type flushing struct{ w http.ResponseWriter }
 
 func (f flushing) Write(p []byte) (int, error) {
