Report settings problems that others hid or invented

Cause: a field with an empty or dotted name suppressed other problems, a number out of range was read as 0, a port taken on all addresses was not seen as taken, a bad drain_delay or body_buffer led to a comparison with the default value, and a missing object was reported at line 1. Conclusion: all problems of a file are reported at once, at their place.

--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -28,26 +28,34 @@
 // can hold without quoting.
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
 
-// at reports a problem at a path unless the decoder already reported one there or
-// at a part of it.
+// at reports a problem at a path unless one was reported there or at an object that
+// holds it. The line is that of the innermost of these that the file holds.
 func (d *decoder) at(path, format string, args ...any) {
-	line := 1
-	for p := path; ; {
-		if d.bad[p] {
-			return
-		}
-		if l, ok := d.lines[p]; ok && line == 1 {
-			line = l
-		}
-		i := strings.LastIndexByte(p, '.')
-		if i < 0 {
+	if d.unusable(path) {
+		return
+	}
+	line, ok := 0, false
+	for p := path; ; p = parent(p) {
+		if line, ok = d.lines[p]; ok || p == "" {
 			break
 		}
-		p = p[:i]
 	}
 	d.problem(path, line, fmt.Sprintf(format, args...))
 }
 
+// unusable reports whether a problem was reported at the path or at an object that
+// holds it.
+func (d *decoder) unusable(path string) bool {
+	for p := path; p != ""; p = parent(p) {
+		if d.bad[p] {
+			return true
+		}
+	}
+	return false
+}
+
+func parent(path string) string { return path[:max(0, strings.LastIndexByte(path, '.'))] }
+
 func (d *decoder) check(s *Settings) {
 	for _, f := range []struct{ path, value string }{
 		{"fleet", s.Fleet}, {"vm.id", s.VM.ID}, {"vm.region", s.VM.Region}, {"vm.zone", s.VM.Zone},
@@ -76,7 +84,7 @@
 func (d *decoder) checkAddresses(s *Settings) {
 	d.files("tls.links", s.TLS.Links)
 	d.files("tls.operators", s.TLS.Operators)
-	bound := map[netip.AddrPort]string{}
+	var bound []binding
 	for _, a := range []struct {
 		path, value      string
 		optional, listen bool
@@ -108,15 +116,29 @@
 			}
 			continue
 		}
-		if other, taken := bound[addr]; taken {
-			d.at(a.path, "expected another address than %s, found %s in both", other, addr)
+		for _, other := range bound {
+			if conflict(addr, other.addr) {
+				d.at(a.path, "expected another address than %s (%s), found %s", other.path, other.addr, addr)
+			}
 		}
-		bound[addr] = a.path
+		bound = append(bound, binding{a.path, addr})
 	}
 	d.checkAdvertised("links", s.Listen.Links, s.Advertise.Links)
 	d.checkAdvertised("operators", s.Listen.Operators, s.Advertise.Operators)
 }
 
+type binding struct {
+	path string
+	addr netip.AddrPort
+}
+
+// conflict reports whether two listeners cannot be bound together: an unspecified
+// address takes the port on all addresses.
+func conflict(a, b netip.AddrPort) bool {
+	x, y := a.Addr().Unmap(), b.Addr().Unmap()
+	return a.Port() == b.Port() && (x == y || x.IsUnspecified() || y.IsUnspecified())
+}
+
 // checkAdvertised requires an advertised address where the listener binds all
 // addresses, since nobody can dial the unspecified address.
 func (d *decoder) checkAdvertised(name, listen, advertise string) {
@@ -147,7 +169,7 @@
 func (d *decoder) checkDrain(s *Settings) {
 	d.duration("drain_delay", s.DrainDelay, 0, maxDrainDelay)
 	d.duration("drain_timeout", s.DrainTimeout, time.Second, maxDrainTimeout)
-	if s.DrainTimeout < s.DrainDelay {
+	if s.DrainTimeout < s.DrainDelay && !d.unusable("drain_delay") {
 		d.at("drain_timeout", "expected at least drain_delay (%s), found %s", s.DrainDelay, s.DrainTimeout)
 	}
 }
@@ -156,7 +178,7 @@
 	d.size("limits.header", l.Header, minHeader, maxHeader)
 	d.size("limits.body_buffer", l.BodyBuffer, 0, maxBodyBuffer)
 	d.size("limits.body_buffer_total", l.BodyBufferTotal, 0, maxBodyTotal)
-	if l.BodyBufferTotal < l.BodyBuffer {
+	if l.BodyBufferTotal < l.BodyBuffer && !d.unusable("limits.body_buffer") {
 		d.at("limits.body_buffer_total", "expected at least limits.body_buffer (%s), found %s", l.BodyBuffer, l.BodyBufferTotal)
 	}
 }
@@ -184,7 +206,7 @@
 
 func (d *decoder) url(path, v string) {
 	u, err := url.Parse(v)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+	if err != nil || u.Hostname() == "" || (u.Scheme != "http" && u.Scheme != "https") {
 		d.at(path, `expected an http or https URL, such as "http://127.0.0.1:9000", found %q`, v)
 	}
 }
--- a/pkg/settings/decode.go
+++ b/pkg/settings/decode.go
@@ -3,13 +3,16 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"os"
 	"reflect"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
-	"github.com/juju/errors"
 	"github.com/tailscale/hujson"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
@@ -19,6 +22,12 @@
 // bound also limits its stack.
 const maxFileBytes = 256 << 10
 
+// maxShown is how many bytes of a text of the file a problem repeats.
+const maxShown = 40
+
+// plainName matches the names that a path shows without quotes.
+var plainName = regexp.MustCompile(`^[A-Za-z0-9_-]{1,40}$`)
+
 // Problem is one fault of a settings file.
 type Problem struct {
 	File string `json:"file"`
@@ -55,18 +64,17 @@
 	return result.Errorf(result.SettingsInvalid, "%d problems", len(e.Problems))
 }
 
-// Load reads and checks a settings file. A file with problems gives an *Error.
+// Load reads and checks a settings file. A file with problems gives an *Error, one
+// that cannot be read a *result.Error with the code SettingsInvalid.
 func Load(path string) (*Settings, error) {
-	info, err := os.Stat(path)
+	f, err := os.Open(path)
 	if err != nil {
-		return nil, errors.Annotate(err, "settings")
-	}
-	if info.Size() > maxFileBytes {
-		return nil, &Error{[]Problem{{path, 1, "", fmt.Sprintf("expected at most %s, found %d bytes", Size(maxFileBytes), info.Size())}}}
+		return nil, result.Errorf(result.SettingsInvalid, "settings: %v", err)
 	}
-	data, err := os.ReadFile(path)
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
 	if err != nil {
-		return nil, errors.Annotate(err, "settings")
+		return nil, result.Errorf(result.SettingsInvalid, "settings: %v", err)
 	}
 	return Parse(path, data)
 }
@@ -86,7 +94,7 @@
 		if n, _ := fmt.Sscanf(text, "line %d, column %d:", &line, &column); n != 2 {
 			line = 1
 		}
-		d.problem("", line, "expected JSON with comments: "+text)
+		d.problem("", line, "expected JSON with comments: "+oneLine(text))
 		return nil, &Error{d.problems}
 	}
 	s := Default()
@@ -101,6 +109,17 @@
 	return s, nil
 }
 
+// oneLine keeps the parser's message, which repeats text of the file, on one line.
+func oneLine(text string) string {
+	const most = 200
+	return strings.Map(func(r rune) rune {
+		if unicode.IsPrint(r) {
+			return r
+		}
+		return '?'
+	}, text[:min(len(text), most)])
+}
+
 type decoder struct {
 	file     string
 	data     []byte
@@ -109,8 +128,13 @@
 	problems []Problem
 }
 
+// problem reports a value that cannot be used, so that no check looks at it.
 func (d *decoder) problem(path string, line int, want string) {
 	d.bad[path] = true
+	d.report(path, line, want)
+}
+
+func (d *decoder) report(path string, line int, want string) {
 	d.problems = append(d.problems, Problem{d.file, line, path, want})
 }
 
@@ -118,7 +142,12 @@
 	return 1 + bytes.Count(d.data[:min(offset, len(d.data))], []byte{'\n'})
 }
 
+// join quotes a name that is no plain one: a dot in it must not look like a
+// nested field, nor a line break like another problem.
 func join(path, name string) string {
+	if !plainName.MatchString(name) {
+		name = strconv.Quote(name[:min(len(name), maxShown)])
+	}
 	if path == "" {
 		return name
 	}
@@ -166,11 +195,12 @@
 		}
 		*p = literal.String()
 	case *float64:
-		if kind != '0' {
+		n, err := strconv.ParseFloat(string(literal), 64)
+		if kind != '0' || err != nil { // Literal.Float hides numbers out of range
 			expected("a number")
 			return
 		}
-		*p = literal.Float()
+		*p = n
 	default:
 		object, ok := v.Value.(*hujson.Object)
 		if !ok {
@@ -193,9 +223,9 @@
 		i, known := fields[name]
 		switch {
 		case !known:
-			d.problem(at, line, unknownField(name, fields))
+			d.report(at, line, unknownField(name, fields))
 		case seen[name]:
-			d.problem(at, line, "expected the field once, found it again")
+			d.report(at, line, "expected the field once, found it again")
 		default:
 			d.value(member.Value, target.Field(i), at)
 		}
@@ -247,7 +277,6 @@
 
 // describe names a value of the file for a message.
 func describe(v hujson.ValueTrimmed) string {
-	const shown = 40
 	switch v.Kind() {
 	case '{':
 		return "an object"
@@ -255,12 +284,12 @@
 		return "an array"
 	case '"':
 		text := v.(hujson.Literal).String()
-		if len(text) > shown {
-			text = text[:shown] + "..."
+		if len(text) > maxShown {
+			text = text[:maxShown] + "..."
 		}
 		return fmt.Sprintf("the string %q", text)
 	case '0':
-		return "the number " + string(v.(hujson.Literal)[:min(shown, len(v.(hujson.Literal)))])
+		return "the number " + string(v.(hujson.Literal)[:min(maxShown, len(v.(hujson.Literal)))])
 	}
 	return string(v.(hujson.Literal))
 }
