--- a/pkg/journal/batcher.go
+++ b/pkg/journal/batcher.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -24,8 +25,10 @@
 	// more, a uniform sample of this size is kept.
 	KindRate     = 20
 	sampleWindow = time.Second
-	// maxPending bounds the events that wait while the log service is away.
-	maxPending = RingSize
+	// maxPending and maxPendingBytes bound the events that wait while the log service
+	// is away. By count alone they could take 256 MiB, all of a VM's control memory.
+	maxPending      = RingSize
+	maxPendingBytes = 16 << 20
 	// maxEventBytes bounds one event, so that a batch holds several.
 	maxEventBytes = 16 << 10
 	// batchOverhead covers a batch's own fields and the counts of omitted events.
@@ -57,6 +60,7 @@
 	kinds     []fleet.EventKind // of windows, in order of appearance
 
 	pending []packed
+	bytes   int // of pending
 	omitted map[string]int
 	seq     uint64
 	nextAt  fleet.Time // no append before this instant
@@ -122,23 +126,34 @@
 	}
 	clear(b.windows)
 	b.kinds = b.kinds[:0]
-	if over := len(b.pending) - maxPending; over > 0 {
-		first := 0
-		if b.sent != nil {
-			first = len(b.sent.Events) // they may be in the stream already
-		}
-		for _, p := range b.pending[first : first+over] {
-			b.omit(string(p.kind), 1)
-		}
-		b.pending = append(b.pending[:first:first], b.pending[first+over:]...)
+	b.dropOldest()
+}
+
+// dropOldest keeps the events that wait within their bounds. Those of the batch that
+// is being appended stay, since they may be in the stream already.
+func (b *Batcher) dropOldest() {
+	first := 0
+	if b.sent != nil {
+		first = len(b.sent.Events)
+	}
+	end := first
+	for ; end < len(b.pending) && (len(b.pending)-(end-first) > maxPending || b.bytes > maxPendingBytes); end++ {
+		b.bytes -= len(b.pending[end].data)
+		b.omit(string(b.pending[end].kind), 1)
+	}
+	if end > first {
+		b.pending = slices.Delete(b.pending, first, end)
 	}
 }
 
+// shortKind returns what of a kind's name the counts of omitted events repeat.
+func shortKind(kind string) string { return kind[:min(len(kind), maxKindName)] }
+
 func (b *Batcher) omit(kind string, n int) {
 	if n <= 0 {
 		return
 	}
-	kind = kind[:min(len(kind), maxKindName)]
+	kind = shortKind(kind)
 	if _, known := b.omitted[kind]; !known && len(b.omitted) >= maxKinds {
 		kind = "other"
 	}
@@ -156,6 +171,7 @@
 		return
 	}
 	b.pending = append(b.pending, packed{data, e.Kind})
+	b.bytes += len(data)
 }
 
 // Next returns the batch to append, or nil if there is none or an append is not yet
@@ -204,7 +220,10 @@
 // Done reports that the batch is in the stream, so that the next one follows.
 func (b *Batcher) Done() {
 	if b.sent != nil {
-		b.pending = b.pending[len(b.sent.Events):]
+		for _, data := range b.sent.Events {
+			b.bytes -= len(data)
+		}
+		b.pending = slices.Delete(b.pending, 0, len(b.sent.Events))
 		b.sent = nil
 	}
 }
--- a/pkg/journal/stream.go
+++ b/pkg/journal/stream.go
@@ -77,7 +77,7 @@
 	}
 	seen[id] = true
 	for kind, n := range batch.Omitted {
-		if q.Kind == "" || string(q.Kind) == kind {
+		if q.Kind == "" || shortKind(string(q.Kind)) == kind {
 			r.Omitted[kind] += n
 		}
 	}
