--- a/cmd/fulmarbeam/run.go
+++ b/cmd/fulmarbeam/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,6 +12,7 @@
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/node"
 	"github.com/fulmarbeam/fulmarbeam/pkg/platform"
+	"github.com/fulmarbeam/fulmarbeam/pkg/proxy"
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
 	"github.com/fulmarbeam/fulmarbeam/pkg/settings"
 	"github.com/fulmarbeam/fulmarbeam/pkg/telemetry"
@@ -23,6 +25,8 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	// net/http reports unsolicited bytes of servers to the standard logger.
+	log.SetOutput(proxy.StandardLog(logger))
 	rootKey, err := base64.StdEncoding.DecodeString(s.RootKey)
 	if err != nil {
 		return result.Errorf(result.SettingsInvalid, "root_key: %v", err)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -136,9 +136,6 @@
 		c.Logger = logr.Discard()
 	}
 	if c.Table == nil {
-		if _, ok := any((*document.Index)(nil)).(RouteTable); !ok {
-			return nil, errors.NotSupportedf("document.Index as the route table: set Config.Table")
-		}
 		c.Table = func() RouteTable { return indexTable(c.Engine.Routes()) }
 	}
 	limits := c.Limits.withDefaults()
@@ -163,8 +160,7 @@
 	if x == nil {
 		return nil
 	}
-	t, _ := any(x).(RouteTable)
-	return t
+	return x
 }
 
 // enter counts a request in flight; it reports false once Drain was called.
