Test that no state is installed backwards and measure its memory

Change: a test offers older states to a node directly; a benchmark reports the heap that a state of design size keeps.

--- a/pkg/configlog/bench_test.go
+++ b/pkg/configlog/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -53,6 +54,20 @@
 	benchmarkEdits(b, startedState(b), func(i int) []byte { return workspacePatch("inn", i) })
 }
 
+// BenchmarkHeapDesign reports the memory that a state of design size keeps.
+func BenchmarkHeapDesign(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	s := designState(b)
+	for b.Loop() {
+		runtime.GC()
+	}
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-bytes")
+	runtime.KeepAlive(s)
+}
+
 func BenchmarkEditWorkspaceDesign(b *testing.B) {
 	benchmarkEdits(b, designState(b), func(i int) []byte { return workspacePatch("workspace-7", i) })
 }
--- a/pkg/configlog/node_test.go
+++ b/pkg/configlog/node_test.go
@@ -270,6 +270,25 @@
 	require.Nil(t, n.Index())
 }
 
+// Whatever a peer or a snapshot offers, a node must not take a state with a lower
+// offset, nor one in which a section is older.
+func TestInstallNeverGoesBack(t *testing.T) {
+	w := newWorld(t, standin.LogControl{}, "east")
+	older := encoded(t, w.ref)
+	w.fill(2)
+	n := w.vms["vm-0"].node
+	restored, err := Restore(testStream, w.root, older)
+	require.Nil(t, err)
+	require.False(t, n.install(w.now, restored, "older"))
+	for range 10 {
+		feed(t, restored, []byte("garbage"))
+	}
+	require.Greater(t, restored.Next(), n.State().Next())
+	require.False(t, n.install(w.now, restored, "older section"))
+	w.run(time.Second)
+	w.converged()
+}
+
 // A log that was emptied must not take the fleet back.
 func TestLogReset(t *testing.T) {
 	w := newWorld(t, standin.LogControl{}, "east", "east")
