Keep idempotency keys where they are and never tell a repeat not-run early

Cause: four ways to break at-most-once or a true not-run. A workspace that got a new home, or a longer region list, moved its keys to shards without the record. A keyed repeat refused before its key was looked up (draining, no document) was told not-run although the first attempt may have run. A reused connection whose stray bytes were read after the next request got it ended as unknown instead of being replaced, and its test depended on timing. Change: homes and regions are fixed (key_regions lets the list grow), keyed requests of unknown workspaces are refused with code 1008, refusals before the lookup say unknown, an owned connection that has not begun is replaced.

--- a/pkg/configlog/state.go
+++ b/pkg/configlog/state.go
@@ -451,7 +451,7 @@
 		ch.tree = sec.treeOrEmpty().Updated(section, refs)
 		ch.sum = ch.tree.Sum()
 		ch.doc = s.doc.WithSection(e.Section, section)
-		problems = document.ValidateChange(ch.doc, e.Section, refs)
+		problems = document.ValidateChange(ch.doc, s.doc, e.Section, refs)
 	}
 	// A larger document could not be passed on as a snapshot.
 	if size := s.bytesWith(e.Section, ch.tree); size > document.MaxDocumentBytes {
--- a/pkg/document/document_test.go
+++ b/pkg/document/document_test.go
@@ -208,7 +208,7 @@
 			nextTree := tree.Updated(next, refs)
 			require.Equal(t, HashSection(whole), nextTree.Sum(), "%s", patch)
 			changed := doc.WithSection("payments", next)
-			require.Equal(t, len(Validate(changed)) == 0, len(ValidateChange(changed, "payments", refs)) == 0, "%s: %v", patch, Validate(changed))
+			require.Equal(t, len(Validate(changed)) == 0, len(ValidateChange(changed, changed, "payments", refs)) == 0, "%s: %v", patch, Validate(changed))
 			if len(Validate(changed)) > 0 {
 				return
 			}
@@ -264,3 +264,29 @@
 		}
 	})
 }
+
+// A workspace or region list that changes must not move idempotency keys: a repeat
+// would not find the record of the first run.
+func TestKeysDoNotMove(t *testing.T) {
+	before := &Document{Format: Format, Root: Root{Regions: []fleet.Region{"addis", "hawassa"}}, Sections: map[string]Section{
+		"payments": {Workspaces: map[string]Workspace{"w": {Home: "addis"}}},
+	}}
+	moved := before.WithSection("payments", Section{Workspaces: map[string]Workspace{"w": {Home: "hawassa"}}})
+	problems := ValidateChange(moved, before, "payments", []Ref{{Kind: KindWorkspace, Name: "w"}})
+	require.Len(t, problems, 1)
+	require.Contains(t, problems.Error(), "home")
+
+	grown := Root{Regions: []fleet.Region{"addis", "hawassa", "bahirdar"}}
+	var p Problems
+	checkRegionChange(&p, grown, before.Root)
+	require.Len(t, p, 1, "every region holds keys of requests without a workspace")
+	old := Root{Regions: before.Root.Regions, KeyRegions: 2}
+	grown.KeyRegions, p = 2, nil
+	checkRegionChange(&p, grown, old)
+	require.Empty(t, p)
+	for hash := range uint64(64) {
+		a, _ := NewIndex(&Document{Format: Format, Root: old}, 1).KeyShard("", hash<<30)
+		b, _ := NewIndex(&Document{Format: Format, Root: grown}, 2).KeyShard("", hash<<30)
+		require.Equal(t, a, b)
+	}
+}
--- a/pkg/document/index.go
+++ b/pkg/document/index.go
@@ -32,7 +32,7 @@
 		services: make(map[fleet.Service]Service),
 		routes:   make(routeTable),
 		root:     doc.Root.Filled(),
-		regions:  doc.Root.sortedRegions(),
+		regions:  doc.Root.keyRegions(),
 	}
 	for _, section := range doc.Sections {
 		for name, s := range section.Services {
--- a/pkg/document/json.go
+++ b/pkg/document/json.go
@@ -269,9 +269,13 @@
 	return out
 }
 
-// Regions returns the fleet's regions, sorted.
-func (r Root) sortedRegions() []fleet.Region {
+// keyRegions returns the regions that hold keys of requests without a workspace,
+// sorted, so that the order of the list has no effect.
+func (r Root) keyRegions() []fleet.Region {
 	out := slices.Clone(r.Regions)
+	if r.KeyRegions > 0 {
+		out = out[:min(r.KeyRegions, len(out))]
+	}
 	slices.Sort(out)
 	return out
 }
--- a/pkg/document/types.go
+++ b/pkg/document/types.go
@@ -29,6 +29,9 @@
 	KeySlices    int             `json:"key_slices,omitempty"`    // key shards in each region; fixed after genesis; default 64
 	KeyRetention Duration        `json:"key_retention,omitempty"` // how long a finished key is kept; default 10m
 	Regions      []fleet.Region  `json:"regions"`                 // regions of the fleet, for keys without a workspace
+	// KeyRegions is how many of the first regions hold the keys of requests without a
+	// workspace. It is fixed after genesis; 0 means all, and then Regions is fixed too.
+	KeyRegions int `json:"key_regions,omitempty"`
 }
 
 // Team is a group of operators and the sections that it may edit.
--- a/pkg/document/validate.go
+++ b/pkg/document/validate.go
@@ -71,7 +71,7 @@
 // ValidateChange checks a document in which only the entries refs of one section
 // differ from a valid document. It reaches the same verdict as Validate without
 // visiting the other workspaces.
-func ValidateChange(doc *Document, section string, refs []Ref) Problems {
+func ValidateChange(doc, before *Document, section string, refs []Ref) Problems {
 	var p Problems
 	checkSizes(&p, doc)
 	path := "sections." + section
@@ -98,6 +98,7 @@
 			checkRoute(&p, where, ref.Name, v)
 		case Workspace:
 			checkWorkspace(&p, where, ref.Name, v, regions)
+			checkHome(&p, where, v, before.Sections[section].Workspaces, ref.Name)
 		}
 		for other, o := range doc.Sections {
 			if _, twice := o.entry(ref); twice && other != section {
@@ -121,6 +122,7 @@
 	if doc.Root.Filled().KeySlices != before.Filled().KeySlices {
 		p.addf("fleet.key_slices", "fixed after the first document: keys would move to other shards")
 	}
+	checkRegionChange(&p, doc.Root, before)
 	p.sort()
 	return p
 }
@@ -428,3 +430,25 @@
 		}
 	}
 }
+
+// checkHome refuses a new home region. The keys of a workspace are at its home, so a
+// repeat of a request would not find the record of the first one.
+func checkHome(p *Problems, where string, now Workspace, before map[string]Workspace, name string) {
+	if old, existed := before[name]; existed && old.Home != now.Home {
+		p.addf(where+".home", "fixed while the workspace exists (%s): its idempotency keys would not be found", old.Home)
+	}
+}
+
+// checkRegionChange keeps the regions by which keys without a workspace are placed.
+func checkRegionChange(p *Problems, now, before Root) {
+	if now.KeyRegions != before.KeyRegions {
+		p.addf("fleet.key_regions", "fixed after the first document: keys would move to other regions")
+	}
+	kept := len(before.Regions)
+	switch {
+	case before.KeyRegions == 0 && !slices.Equal(now.Regions, before.Regions):
+		p.addf("fleet.regions", "fixed after the first document unless it set key_regions: keys would move to other regions")
+	case len(now.Regions) < kept || !slices.Equal(now.Regions[:kept], before.Regions):
+		p.addf("fleet.regions", "regions may only be appended")
+	}
+}
--- a/pkg/proxy/answer.go
+++ b/pkg/proxy/answer.go
@@ -293,13 +293,13 @@
 	x.out.final()
 	info := code.Info()
 	x.status = info.HTTP
-	body, err := json.Marshal(Failure{Code: code, Name: info.Name, Outcome: info.Outcome, Detail: detail, RequestID: x.id})
+	body, err := json.Marshal(Failure{Code: code, Name: info.Name, Outcome: x.outcome(code), Detail: detail, RequestID: x.id})
 	if err != nil {
 		x.p.log.Error(err, "encode failure", "request", x.id)
 		panic(http.ErrAbortHandler)
 	}
 	h := x.w.Header()
-	failureHeader(h, code)
+	failureHeader(h, code, x.outcome(code))
 	h["Content-Length"] = contentLength(int64(len(body)))
 	x.connection(h)
 	if code == result.SlowRequest || x.body == nil || !x.body.whole {
@@ -315,11 +315,10 @@
 	}
 }
 
-func failureHeader(h http.Header, code result.Code) {
-	info := code.Info()
+func failureHeader(h http.Header, code result.Code, outcome result.Outcome) {
 	h["Content-Type"] = []string{"application/json"}
 	h["Fulmar-Code"] = []string{strconv.Itoa(int(code))}
-	h["Fulmar-Outcome"] = []string{string(info.Outcome)}
+	h["Fulmar-Outcome"] = []string{string(outcome)}
 	h["Cache-Control"] = []string{"no-store"}
 }
 
@@ -350,3 +349,14 @@
 	i.x.w.WriteHeader(status)
 	clear(h)
 }
+
+// outcome returns what the caller is told. A keyed request that is refused before its
+// key was looked up may be the repeat of one that ran, so it is not told "not-run".
+func (x *exchange) outcome(code result.Code) result.Outcome {
+	told := code.Info().Outcome
+	keyed := !x.route.Route.Idempotent && len(x.r.Header.Values("Idempotency-Key")) > 0
+	if told == result.OutcomeNotRun && keyed && !x.keyChecked {
+		return result.OutcomeUnknown
+	}
+	return told
+}
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -279,6 +279,10 @@
 		switch {
 		case n > 0 && c.idle:
 			n, err, c.doubt = 0, errStrayBytes, true
+		case n > 0 && c.reused && !c.began:
+			// The next request owns the connection but has not left: it still can use
+			// another connection with proof that it did not run.
+			n, err, c.doubt = 0, errStrayBytes, true
 		case n > 0 && c.began:
 			c.owner.read.Add(int64(n))
 		case c.began:
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -45,6 +45,7 @@
 	deadline  fleet.Time
 	body      *requestBody
 
+	keyChecked bool // the key's record was looked up
 	key        string
 	dispatchBy fleet.Time // limit of the key reservation; 0 without one
 
@@ -172,6 +173,11 @@
 		return result.Errorf(result.KeyInvalid, "an Idempotency-Key is one value of 1 to %d printable ASCII bytes", maxKeyLength)
 	}
 	x.key = key
+	if x.workspace != "" && x.known == "" {
+		// Once the document gets the workspace, its keys would be looked up at its home,
+		// where the record of this request would not be found.
+		return result.Errorf(result.WorkspaceUnknown, "workspace %q is not in the document", x.workspace)
+	}
 	return nil
 }
 
@@ -183,6 +189,7 @@
 	d := x.p.engine.Reserve(ctx, x.known, scope, x.fingerprint(), x.deadline)
 	span.SetAttributes(attribute.Int("fulmar.code", int(d.Code)))
 	span.End()
+	x.keyChecked = true
 	switch d.Verdict {
 	case keys.VerdictReplay:
 		x.replay(d.Answer)
--- a/pkg/proxy/wire_test.go
+++ b/pkg/proxy/wire_test.go
@@ -131,14 +131,15 @@
 func TestStrayAnswerIsNotTaken(t *testing.T) {
 	const stray = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 	for _, late := range []bool{false, true} {
-		written := make(chan struct{}, 1)
+		written, answered := make(chan struct{}, 1), make(chan struct{}, 1)
 		s := startScripted(t, func(conn net.Conn, nth int, r *http.Request) bool {
 			if late {
 				_, _ = conn.Write([]byte(plainOK))
-				time.Sleep(time.Millisecond)
+				<-answered
 				_, _ = conn.Write([]byte(stray))
 			} else {
 				_, _ = conn.Write([]byte(plainOK + stray))
+				<-answered
 			}
 			written <- struct{}{}
 			return true
@@ -151,6 +152,7 @@
 				require.Equal(t, 200, a.status, a.body)
 			}
 			if a.code() != result.ServerUnreachable {
+				answered <- struct{}{}
 				<-written // the stray bytes are at the proxy before the next request
 			}
 			require.Contains(t, []result.Code{0, result.AnswerCrossed, result.ServerUnreachable}, a.code())
@@ -342,6 +344,19 @@
 	require.Zero(t, r.proxy.InFlight())
 }
 
+// Guards against "not-run" for the repeat of a booking that ran: before its key is
+// looked up nothing is known about the first attempt.
+func TestKeyedRequestIsNotToldNotRunBeforeLookup(t *testing.T) {
+	r := newRig(t, rigOptions{backends: 1})
+	require.Equal(t, 200, r.post("/book", "x", "Idempotency-Key", "k").status)
+	require.NoError(t, r.proxy.Drain(context.Background()))
+	repeat := r.post("/book", "x", "Idempotency-Key", "k")
+	require.Equal(t, result.Draining, repeat.code())
+	require.Equal(t, "unknown", repeat.header.Get("Fulmar-Outcome"))
+	require.Contains(t, repeat.body, `"outcome":"unknown"`)
+	require.Equal(t, "not-run", r.post("/book", "x").header.Get("Fulmar-Outcome"), "without a key the request is its own")
+}
+
 // Guards against an answer that waits for the end of an upload, and against bodies
 // changed on the way: a server that sends back what it gets, while it gets it.
 func TestStreamsBothWays(t *testing.T) {
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -44,6 +44,7 @@
 	KeyRequired      Code = 1005
 	NoRoute          Code = 1006
 	MethodNotAllowed Code = 1007
+	WorkspaceUnknown Code = 1008
 
 	NoCapacity        Code = 2001
 	DeadlineTooClose  Code = 2002
@@ -108,6 +109,7 @@
 	{KeyRequired, "key_required", OutcomeNotRun, 400, 2, "the route requires an Idempotency-Key"},
 	{NoRoute, "no_route", OutcomeNotRun, 404, 2, "no route matches host, path and method"},
 	{MethodNotAllowed, "method_not_allowed", OutcomeNotRun, 405, 2, "a route matches host and path but not the method"},
+	{WorkspaceUnknown, "workspace_unknown", OutcomeNotRun, 400, 2, "the document does not hold the workspace, so its idempotency key has no home"},
 	{NoCapacity, "no_capacity", OutcomeNotRun, 503, 3, "the pool is full and heavier work goes first"},
 	{DeadlineTooClose, "deadline_too_close", OutcomeNotRun, 503, 3, "the work cannot finish before its deadline"},
 	{NoServer, "no_server", OutcomeNotRun, 503, 3, "the pool has no usable server"},
