--- /dev/null
+++ b/pkg/keys/keys_test.go
@@ -0,0 +1,177 @@
+package keys
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+	"github.com/fulmarbeam/fulmarbeam/pkg/shard"
+)
+
+// warmSim returns a fleet without faults whose key shards are open, and its nodes.
+func warmSim(t require.TestingT, vms int) (*sim, []*simNode) {
+	s := newSim(1, vms)
+	s.advance(12 * time.Second)
+	for i := range 8 { // lets the VM of the other region learn the views
+		s.reserve(s.nodes[vms], fmt.Sprintf("warm-%d", i), FinishNotRun, time.Second)
+	}
+	s.advance(3 * time.Second)
+	clear(s.verdicts)
+	require.Empty(t, s.problems)
+	return s, s.nodes
+}
+
+// ownerTable returns the table at the owner of the key's shard.
+func ownerTable(s *sim, key string) (*simNode, *table) {
+	id, _ := s.nodes[0].keys.shardOf("w", Scope{Workspace: "w", Service: "pay", Key: key})
+	for _, n := range s.nodes {
+		if role, _ := n.manager.Role(id); role == shard.RoleOwner {
+			return n, n.keys.tables[id]
+		}
+	}
+	return nil, nil
+}
+
+// Guards against a reserve that arrives after its release, or twice, and creates a
+// record that nobody ends.
+func TestReserveAfterReleaseIsIgnored(t *testing.T) {
+	s, nodes := warmSim(t, 2)
+	owner, table := ownerTable(s, "k")
+	caller := nodes[2]
+	view, _ := owner.manager.View(table.id)
+	a := Attempt{caller.self, 99}
+	scope := Scope{Workspace: "w", Service: "pay", Key: "k"}
+	now := s.clock(owner)
+	reserve := &Reserves{[]Reserve{{View: view, Scope: scope, Attempt: a}}}
+	release := &Ends{[]End{{View: view, Scope: scope, Attempt: a, State: FinishNotRun}}}
+	owner.keys.Step(now, caller.self, release)
+	owner.keys.Step(now, caller.self, reserve)
+	require.Empty(t, table.records)
+	a.Number++
+	owner.keys.Step(now, caller.self, &Reserves{[]Reserve{{View: view, Scope: scope, Attempt: a}}})
+	require.Len(t, table.records, 1)
+	release.Ends[0].Attempt = a
+	owner.keys.Step(now, caller.self, release)
+	owner.keys.Step(now, caller.self, &Reserves{[]Reserve{{View: view, Scope: scope, Attempt: a}}})
+	require.Empty(t, table.records)
+}
+
+// Guards against a finish that is lost because the caller's end was noticed first,
+// and against a key that is freed by it.
+func TestFinishAfterCallerIsGone(t *testing.T) {
+	s, nodes := warmSim(t, 2)
+	s.reserve(nodes[2], "k", FinishDone, time.Second)
+	owner, table := ownerTable(s, "k")
+	for i := 0; i < 10 && len(table.records) == 0; i++ {
+		s.advance(simTick)
+	}
+	require.Len(t, table.records, 1)
+	var held *record
+	for _, r := range table.records {
+		held = r
+	}
+	newer := fleet.Member{VM: held.attempt.Caller.VM, Incarnation: held.attempt.Caller.Incarnation + 1}
+	owner.manager.SawIncarnation(s.clock(owner), newer)
+	owner.keys.Tick(s.clock(owner))
+	require.Equal(t, recordUnknown, held.state)
+	view, _ := owner.manager.View(table.id)
+	owner.keys.Step(s.clock(owner), held.attempt.Caller, &Ends{[]End{{
+		View: view, Scope: held.scope, Attempt: held.attempt, State: FinishDone, Answer: &Answer{Status: 201},
+	}}})
+	require.Equal(t, recordDone, held.state)
+	require.Equal(t, 201, held.answer.Status)
+}
+
+// Guards against a run after the caller's VM was paused beyond the dispatch limit,
+// and against a repeat that runs a kept key or another request under the same key.
+func TestVerdicts(t *testing.T) {
+	s, nodes := warmSim(t, 2)
+	s.reserve(nodes[2], "k", FinishDone, 5*time.Second)
+	s.advance(2 * time.Second)
+	require.Equal(t, 1, s.verdicts[VerdictRun])
+	s.reserve(nodes[0], "k", FinishDone, 5*time.Second)
+	s.advance(time.Second)
+	require.Equal(t, 1, s.verdicts[VerdictReplay])
+	n := nodes[1]
+	scope := Scope{Workspace: "w", Service: "pay", Key: "k"}
+	n.requests[77] = &simRequest{id: 77, key: "k", start: s.now}
+	n.keys.Reserve(s.clock(n), 77, "w", scope, 2, s.clock(n).Add(time.Second))
+	s.advance(time.Second)
+	require.Equal(t, 1, s.replies[result.KeyMismatch])
+	far := nodes[2]
+	s.reserve(far, "late", FinishDone, 20*time.Second)
+	s.advance(simTick)
+	far.paused = true
+	s.advance(5 * time.Second)
+	far.paused = false
+	s.advance(time.Second)
+	require.Equal(t, 1, s.replies[result.DispatchTooLate])
+	require.Empty(t, s.runs["late"])
+	require.Empty(t, s.problems)
+}
+
+// Guards against records that outgrow their bounds, a refusal of new keys that is not
+// marked as not run, and records that stay after the retention.
+func TestTableBoundsAndRetention(t *testing.T) {
+	s, nodes := warmSim(t, 1)
+	n := nodes[0]
+	for i := range 2*MaxRecords + 400 {
+		s.reserve(n, fmt.Sprintf("k%d", i), FinishDone, time.Second)
+	}
+	s.advance(5 * time.Second)
+	require.Positive(t, s.replies[result.KeyTableFull])
+	for _, table := range n.keys.tables {
+		require.LessOrEqual(t, len(table.records)+len(table.released), MaxRecords)
+		require.LessOrEqual(t, table.bytes, MaxTableBytes)
+	}
+	n.keys.Tick(s.clock(n).Add(DefaultRetention + time.Second))
+	for _, table := range n.keys.tables {
+		require.Empty(t, table.records)
+		require.Zero(t, table.bytes)
+	}
+	require.Empty(t, s.problems)
+}
+
+// Guards against a takeover that lets a key run whose record only the old owner's
+// history check refused.
+func TestCopyChecksLostHistory(t *testing.T) {
+	s, _ := warmSim(t, 2)
+	owner, table := ownerTable(s, "k")
+	view, _ := owner.manager.View(table.id)
+	for _, n := range s.nodes {
+		if n.self != view.Copy {
+			continue
+		}
+		copied := n.keys.tables[table.id]
+		copied.history, copied.lostAt = historyLost, s.clock(n)
+		scope := Scope{Workspace: "w", Service: "pay", Key: "k"}
+		n.keys.Step(s.clock(n), owner.self, &Reserves{[]Reserve{{View: view, Scope: scope, Attempt: Attempt{owner.self, 9}}}})
+		require.Empty(t, copied.records)
+	}
+}
+
+func BenchmarkReserveFinish(b *testing.B) {
+	s, nodes := warmSim(b, 1)
+	n := nodes[0]
+	now := s.clock(n)
+	id := ReserveID(1 << 32)
+	for b.Loop() {
+		id++
+		now = now.Add(time.Millisecond)
+		scope := Scope{Workspace: "w", Service: "pay", Key: fmt.Sprintf("key-%d", id)}
+		n.keys.Reserve(now, id, "w", scope, 1, now.Add(time.Second))
+		if d := n.keys.Decisions(); len(d) != 1 || d[0].Verdict != VerdictRun {
+			b.Fatal(d)
+		}
+		n.keys.Finish(now, id, FinishNotRun, nil)
+		if id%64 == 0 {
+			now = now.Add(time.Minute) // keeps the table below its bound
+			n.keys.Tick(now)
+			n.keys.Outbox()
+		}
+	}
+}
--- a/pkg/keys/machine_test.go
+++ b/pkg/keys/machine_test.go
@@ -138,7 +138,7 @@
 			owners++
 			view, _ := n.manager.View(id)
 			if view.Copy.IsZero() != (members == 1) {
-				t.Fatalf("%s: view %+v with %d VMs", id, view, members)
+				t.Fatalf("%s: view %+v with %d VMs\n%s", id, view, members, strings.Join(s.trace, "\n"))
 			}
 			if !view.Copy.IsZero() {
 				copies++
@@ -159,7 +159,7 @@
 	}
 	s.advance(10 * time.Second)
 	if got := s.verdicts[VerdictRun] + s.replies[result.KeyHistoryLost] - before; got != 4*len(s.nodes) {
-		t.Fatalf("%d of %d new keys were decided: %v", got, 4*len(s.nodes), s.replies)
+		t.Fatalf("%d of %d new keys were decided: %v\n%s", got, 4*len(s.nodes), s.replies, strings.Join(s.trace, "\n"))
 	}
 	if s.replies[result.KeyHistoryLost] > 0 && lost == 0 && len(s.problems) > 0 {
 		t.Fatalf("history lost: %v", s.problems)
--- a/pkg/keys/sim_test.go
+++ b/pkg/keys/sim_test.go
@@ -19,6 +19,7 @@
 const (
 	simTick         = 25 * time.Millisecond
 	simListLag      = 1500 * time.Millisecond // below shard.DefaultListSettle, as the platform must keep it
+	simBirthStep    = 1000                    // incarnations are start times, far apart compared with versions
 	simDrainTimeout = 20 * time.Second        // a shutdown ends then in any case
 	simRegion       = fleet.Region("r")
 	simRemote       = fleet.Region("s")
@@ -114,7 +115,7 @@
 func (s *sim) start(vm fleet.VM) *simNode {
 	s.births++
 	n := &simNode{
-		vm: vm, self: fleet.Member{VM: vm.ID, Incarnation: fleet.Incarnation(s.births)},
+		vm: vm, self: fleet.Member{VM: vm.ID, Incarnation: fleet.Incarnation(s.births * simBirthStep)},
 		offset: time.Duration(s.rng.Int64N(int64(time.Hour))), listAt: -1,
 		lag: time.Duration(s.rng.Int64N(int64(simListLag))), requests: map[ReserveID]*simRequest{},
 	}
@@ -212,6 +213,15 @@
 func (s *sim) advance(d time.Duration) {
 	for end := s.now + d; s.now < end; {
 		s.now += simTick
+		if s.now%time.Second == 0 { // heartbeats name the sender's process as hellos do
+			for _, from := range s.nodes {
+				for _, to := range s.nodes {
+					if from != to && !from.paused {
+						s.hello(from, to)
+					}
+				}
+			}
+		}
 		flights := s.flights[s.now]
 		delete(s.flights, s.now)
 		for _, f := range flights {
@@ -304,6 +314,7 @@
 			s.problems = append(s.problems, "replay of a key that did not run: "+q.key)
 		}
 	case VerdictRefuse:
+		s.trace = append(s.trace, fmt.Sprintf("%v %s: refused %s with %s", s.now, n.self, q.key, d.Code))
 		s.replies[d.Code]++
 		if d.Code.Info().Outcome == result.OutcomeNotRun {
 			for _, r := range s.runs[q.key] {
--- a/pkg/shard/transfer.go
+++ b/pkg/shard/transfer.go
@@ -95,6 +95,11 @@
 
 func (m *Manager) onPart(now fleet.Time, from fleet.Member, p Part) {
 	v := p.View
+	if v.Copy.VM == m.cfg.Self.VM && v.Copy != m.cfg.Self {
+		// The owner has not heard of this process yet; the answer tells it.
+		m.answerPrepare(from, v, false)
+		return
+	}
 	if v.Copy != m.cfg.Self || v.Owner != from || p.Total < 1 || p.Total > maxParts || p.Index < 0 || p.Index >= p.Total {
 		return
 	}
@@ -150,7 +155,7 @@
 
 func (m *Manager) onPrepared(now fleet.Time, from fleet.Member, p PreparedView) {
 	r := m.rows[p.View.Shard]
-	if r == nil || from != p.View.Copy {
+	if r == nil || from.VM != p.View.Copy.VM || p.OK && from != p.View.Copy {
 		return
 	}
 	switch {
--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,71 @@
+#!/bin/sh
+# Checks the Spin models of this directory. Each line of MODELS is a name, a file, what
+# is expected (pass or fail), and the definitions. A mutation (fail) must be rejected.
+# Fails when a model fails, a search is incomplete, or a mutation passes.
+set -u
+cd "$(dirname "$0")" || exit 1
+
+MODELS='
+keys-alone       keys.pml pass -DKEYS -DNV=4 -DMAXKILL=1 -DMAXRESIGN=0
+keys-pair        keys.pml pass -DKEYS -DPAIR -DNV=4 -DMAXKILL=1 -DMAXRESIGN=0
+keys-resign      keys.pml pass -DKEYS -DONECALLER -DPAIR -DNV=4 -DMAXKILL=1 -DMAXRESIGN=1
+claims           keys.pml pass -DCLAIMS -DNV=5 -DMAXKILL=1 -DMAXRESIGN=0
+claims-resign    keys.pml pass -DCLAIMS -DPAIR -DNV=4 -DMAXKILL=2 -DMAXRESIGN=2
+silence          keys.pml fail -DMUT_SILENCE -DKEYS -DONECALLER -DPAIR -DNV=4 -DMAXKILL=1 -DMAXRESIGN=0
+uncommitted      keys.pml fail -DMUT_UNCOMMITTED -DKEYS -DONECALLER -DNV=4 -DMAXKILL=1 -DMAXRESIGN=0
+no-copy          keys.pml fail -DMUT_NOCOPY -DKEYS -DONECALLER -DPAIR -DNV=4 -DMAXKILL=1 -DMAXRESIGN=0
+no-tombstone     keys.pml fail -DMUT_NOTOMB -DKEYS -DONECALLER -DNV=4 -DMAXKILL=1 -DMAXRESIGN=0
+no-freeze        keys.pml fail -DMUT_NOFREEZE -DKEYS -DONECALLER -DNV=4 -DMAXKILL=1 -DMAXRESIGN=0
+both-resign      keys.pml fail -DMUT_BOTHRESIGN -DCLAIMS -DPAIR -DNV=4 -DMAXKILL=1 -DMAXRESIGN=2
+resign-back      keys.pml fail -DMUT_RESIGNBACK -DKEYS -DONECALLER -DPAIR -DNV=4 -DMAXKILL=1 -DMAXRESIGN=1
+old-list         keys.pml fail -DMUT_OLDLIST -DCLAIMS -DNV=5 -DMAXKILL=1 -DMAXRESIGN=0
+generation       keys.pml fail -DMUT_GENERATION -DCLAIMS -DNV=5 -DMAXKILL=1 -DMAXRESIGN=0
+one-promise      keys.pml fail -DMUT_PARTIAL -DCLAIMS -DNV=4 -DMAXKILL=2 -DMAXRESIGN=0
+'
+
+if ! command -v spin >/dev/null; then
+	apt-get update -qq && apt-get install -y -qq spin || exit 1
+fi
+spec=$PWD
+work=$(mktemp -d) || exit 1
+trap 'rm -rf "$work"' EXIT
+status=0
+
+# check NAME FILE EXPECTED DEFINITIONS...
+check() {
+	name=$1 file=$2 expected=$3
+	shift 3
+	mkdir "$work/$name" && cd "$work/$name" || exit 1
+	if ! spin -a "$@" "$spec/$file" >spin.out 2>&1 ||
+		! cc -w -O2 -DSAFETY -DMEMLIM=2000 -o pan pan.c 2>cc.out; then
+		cat spin.out cc.out
+		echo "FAIL $name: the model does not compile"
+		status=1
+		return
+	fi
+	./pan -m100000 -w24 >out 2>&1
+	errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' out)
+	states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' out)
+	seconds=$(sed -n 's/.*elapsed time \([0-9.]*\) seconds.*/\1/p' out)
+	memory=$(sed -n 's/^ *\([0-9.]*\).*total actual memory usage.*/\1/p' out)
+	figures="$states states, ${seconds:-0} s, $memory MB"
+	assertion=$(grep -c 'assertion violated' out)
+	if [ "$expected" = pass ] && [ "$errors" = 0 ] && ! grep -Eq 'Search not completed|max search depth too small|invalid array|out of memory' out; then
+		echo "ok   $name: holds, $figures"
+	elif [ "$expected" = fail ] && [ "${errors:-0}" != 0 ] && [ "$assertion" != 0 ] && ! grep -q 'invalid array' out; then
+		echo "ok   $name: mutation rejected, $figures"
+	else
+		tail -40 out
+		echo "FAIL $name: expected $expected, $figures"
+		status=1
+	fi
+}
+
+while read -r line; do
+	# The definitions are words without blanks.
+	# shellcheck disable=SC2086
+	[ -z "$line" ] || check $line
+done <<LIST
+$MODELS
+LIST
+exit $status
