--- a/pkg/pool/client.go
+++ b/pkg/pool/client.go
@@ -107,10 +107,12 @@
 	lastWork   fleet.Time
 	lastIdem   fleet.Time
 	lastRoutes fleet.Time
-	wake       bool // sync at the next tick
-	bad        bool // failure evidence is pending
-	inquire    bool // the pool of another region: ask for its use
-	arrived    int
+	wake       bool     // sync at the next tick
+	bad        bool     // failure evidence is pending
+	inquire    bool     // the pool of another region: ask for its use
+	arrived    int      // work queued since the last sync
+	toldIdle   int      // idle credits as last reported
+	shrunk     bool     // a recall is not confirmed yet
 	drainTell  []uint32 // servers that said that they leave, for the next sync
 }
 
--- a/pkg/pool/clientcredits.go
+++ b/pkg/pool/clientcredits.go
@@ -11,6 +11,9 @@
 	awayEvery   = 400 * time.Millisecond // to a lost owner
 	queueEvery  = 20 * time.Millisecond  // while work waits
 	routesEvery = time.Second
+	idleEvery   = 40 * time.Millisecond // when clearly more credits lie idle than reported
+	idleNews    = 2
+	fewQueued   = 8                // queued work that is worth a sync per round trip
 	remoteFor   = 5 * time.Second  // a remote pool is synced this long after work
 	spareFor    = 30 * time.Second // one spare credit is kept this long after work
 )
@@ -125,6 +128,7 @@
 		since >= syncActive && (quiet < activeFor || c.used > 0 || c.mode != modeOwner || c.inquire) ||
 		since >= syncEvidence && c.bad ||
 		since >= queueEvery && c.queue.n > 0 ||
+		since >= idleEvery && c.idle() >= c.toldIdle+idleNews ||
 		since >= syncUrgent && c.wake
 	if due {
 		c.sync(now)
@@ -173,6 +177,7 @@
 		c.waiting = now
 	}
 	c.compact()
+	c.arrived, c.toldIdle = 0, c.idle()
 	m := &Sync{
 		Pool: c.pool.id, Epoch: c.epoch, Ack: c.ack, Seq: c.seq,
 		Queue:  c.queue.demands(),
@@ -266,8 +271,18 @@
 		c.takeGrants(m)
 	}
 	c.pump(now)
-	if c.queue.n > 0 {
+	c.answer(now)
+}
+
+// answer syncs again soon after a state: at once when the coordinator waits for
+// recalled credits or a few pieces of work still wait for one.
+func (c *client) answer(now fleet.Time) {
+	if c.shrunk || c.queue.n > 0 && c.arrived > 0 {
 		c.wake = true
+		if c.shrunk || c.queue.n <= fewQueued {
+			c.shrunk = false
+			c.sync(now)
+		}
 	}
 }
 
@@ -309,9 +324,7 @@
 		}
 	}
 	c.compact()
-	if shrunk {
-		c.wake = true // the coordinator waits for the credit
-	}
+	c.shrunk = c.shrunk || shrunk
 }
 
 // takeEjected renews, sets and ends ejections. A lease counts from the sending of
@@ -365,9 +378,7 @@
 		c.takeGrants(m)
 	}
 	c.pump(now)
-	if c.queue.n > 0 {
-		c.wake = true
-	}
+	c.answer(now)
 }
 
 // backToOwner ends the use of copy or allotment.
--- a/pkg/pool/credits.go
+++ b/pkg/pool/credits.go
@@ -213,21 +213,24 @@
 	clear(cc.need[:])
 	clear(cc.needLong[:])
 	cc.queued, cc.spare = 0, m.Spare
-	coming := 0
+	coming, comingLong := 0, 0 // credits under way or idle at the client
 	for k := range cc.lends {
 		if l := &cc.lends[k]; !l.trial {
 			coming += max(0, l.target-l.used)
+			comingLong += max(0, min(l.targetLong-l.usedLong, l.target-l.used))
 		}
 	}
 	for _, d := range m.Queue {
-		if d.Class < 0 || d.Class >= classes || d.Count <= 0 {
+		if d.Class < 0 || d.Class >= classes || d.Count <= 0 || d.Long < 0 || d.Long > d.Count {
 			continue
 		}
 		cc.queued += d.Count
-		take := min(coming, d.Count)
-		coming -= take
-		cc.need[d.Class] = d.Count - take
-		cc.needLong[d.Class] = min(d.Long, cc.need[d.Class])
+		long := min(comingLong, d.Long)
+		short := min(coming-long, d.Count-d.Long)
+		coming -= long + short
+		comingLong = min(comingLong-long, coming)
+		cc.need[d.Class] = d.Count - long - short
+		cc.needLong[d.Class] = d.Long - long
 	}
 	cc.spare = max(0, cc.spare-coming)
 }
--- a/pkg/pool/grant.go
+++ b/pkg/pool/grant.go
@@ -11,7 +11,8 @@
 
 // Rules of lending.
 const (
-	spareBelow  = 70 // percent of slots in use below which spare credits are lent
+	spareBelow  = 85 // percent of slots in use below which spare credits are lent
+	keepUnlent  = 10 // percent of slots not lent as spares, for work that waits
 	scanRows    = 64 // rows looked at to find the least lent one
 	shortLeast  = 1.0 / 6
 	cutoffAhead = 50 * time.Millisecond // queued work that is served within this time is above the margin
@@ -149,12 +150,13 @@
 	if c.usedPct >= spareBelow {
 		return
 	}
+	most := c.slotsAll - c.slotsAll*keepUnlent/100
 	for progress := true; progress; {
 		progress = false
 		c.turn++
 		for k := range c.clients {
 			cc := c.clients[(c.turn+k)%len(c.clients)]
-			if cc.spare > 0 && cc.live() && c.lentAll < c.slotsAll && c.grant(now, cc, false) {
+			if cc.spare > 0 && cc.live() && c.lentAll < most && c.grant(now, cc, false) {
 				cc.spare--
 				progress = true
 			}
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -12,8 +12,8 @@
 const (
 	maxQueue = 8192
 	// maxQueueWait bounds the wait whatever the deadline, so that the backlog of an
-	// overload is gone soon after its end.
-	maxQueueWait = 1500 * time.Millisecond
+	// overload is gone 2 s after its end: with 1.5 s it took 2.4 s at half load.
+	maxQueueWait = time.Second
 )
 
 // item is queued work.
