Drop keys that carry their own time and bound deadlines by the retention

Cause: admitting UUIDv7 keys after a loss of history trusts callers' clocks, so a wrong clock could run a booking twice. A route with a deadline beyond key_retention could outlive the record of its key. Change: the exception is gone; validation refuses such deadlines on routes that are not idempotent. Conclusion: after a loss of history every key waits for the retention.

--- a/pkg/core/node.go
+++ b/pkg/core/node.go
@@ -41,8 +41,6 @@
 	// ListSettle is how long a new process waits before it claims shards. It must
 	// exceed the lag of the platform's list; zero means the default of package shard.
 	ListSettle time.Duration
-	// WallClock enables keys that carry their own time, see keys.Config.
-	WallClock func(fleet.Time) time.Time
 }
 
 // Node is one entry VM's decision state. Its methods must not be called concurrently.
@@ -74,7 +72,7 @@
 	})
 	n.keys = keys.New(keys.Config{
 		Self: cfg.Self, Region: cfg.Region, Authority: n.shards, Membership: n.shards,
-		Opened: n.opens.state, WallClock: cfg.WallClock,
+		Opened: n.opens.state,
 	})
 	n.pools = pool.New(pool.Config{
 		Self: cfg.Self, Region: cfg.Region, Zone: cfg.Zone, Seed: cfg.Seed, Authority: n.shards, Policy: cfg.Policy,
--- a/pkg/document/validate.go
+++ b/pkg/document/validate.go
@@ -46,6 +46,7 @@
 	checkSizes(&p, doc)
 	checkRoot(&p, doc.Root)
 	regions := regionSet(doc.Root)
+	retention := doc.Root.Filled().KeyRetention
 	for name, s := range doc.Sections {
 		path := "sections." + name
 		checkSectionName(&p, path, name)
@@ -53,7 +54,7 @@
 			checkService(&p, join(path, "services."+string(n)), string(n), v)
 		}
 		for n, v := range s.Routes {
-			checkRoute(&p, join(path, "routes."+n), n, v)
+			checkRoute(&p, join(path, "routes."+n), n, v, retention)
 		}
 		for n, v := range s.Workspaces {
 			if bad := !validName(n) || !regions[v.Home] || !validWeight(v.Weight); bad {
@@ -95,7 +96,7 @@
 		case Service:
 			checkService(&p, where, ref.Name, v)
 		case Route:
-			checkRoute(&p, where, ref.Name, v)
+			checkRoute(&p, where, ref.Name, v, doc.Root.Filled().KeyRetention)
 		case Workspace:
 			checkWorkspace(&p, where, ref.Name, v, regions)
 			checkHome(&p, where, v, before.Sections[section].Workspaces, ref.Name)
@@ -278,7 +279,7 @@
 	}
 }
 
-func checkRoute(p *Problems, path, name string, r Route) {
+func checkRoute(p *Problems, path, name string, r Route, retention Duration) {
 	checkName(p, path, name)
 	checkPath(p, path+".path", r.Path)
 	if len(r.Path) > 1 && strings.HasSuffix(r.Path, "/") {
@@ -309,6 +310,10 @@
 	if !validWeight(r.Weight) {
 		p.addf(path+".weight", "%v is not within 0 and %v", r.Weight, MaxWeight)
 	}
+	if d := r.Filled().Deadline; !r.Idempotent && d >= retention {
+		// A request that outlives the record of its key could run again.
+		p.addf(path+".deadline", "%v is not below fleet.key_retention (%v)", time.Duration(d), time.Duration(retention))
+	}
 	if r.Deadline < 0 || r.Deadline > MaxDeadline {
 		p.addf(path+".deadline", "%v is not within 0s and %v", time.Duration(r.Deadline), time.Duration(MaxDeadline))
 	}
--- a/pkg/keys/keys.go
+++ b/pkg/keys/keys.go
@@ -46,9 +46,6 @@
 	Membership shard.Membership
 	Opened     func(shard.ID) OpenState
 	Retry      time.Duration // interval of repeats
-	// WallClock enables the admission of UUIDv7 keys made after a claim with lost
-	// history. It trusts callers' clocks to within 5 s; nil disables it.
-	WallClock func(fleet.Time) time.Time
 }
 
 // Keys reserves keys for requests of this VM and keeps the records of key shards
--- a/pkg/keys/member.go
+++ b/pkg/keys/member.go
@@ -6,15 +6,12 @@
 	"slices"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/shard"
 )
 
 const (
-	openRequestInterval = time.Second     // between requests for the same opened record
-	uuidMargin          = 5 * time.Second // by which a UUIDv7 must be younger than the claim
+	openRequestInterval = time.Second // between requests for the same opened record
 )
 
 // memberOf returns the table when this process is an active member of exactly this
@@ -97,7 +94,7 @@
 		k.event(t.id, "history is whole again: the retention has passed since the claim")
 	}
 	switch {
-	case t.history == historyWhole, t.history == historyLost && k.youngerThanClaim(now, t, scope.Key):
+	case t.history == historyWhole:
 		return GrantAccepted
 	case t.history == historyLost:
 		return GrantLost
@@ -129,21 +126,6 @@
 	k.event(t.id, "history was lost: unknown keys are refused until the retention has passed")
 }
 
-// youngerThanClaim accepts a UUIDv7 that was made after the claim. It trusts the
-// callers' clocks and is therefore off unless the configuration gives a wall clock.
-func (k *Keys) youngerThanClaim(now fleet.Time, t *table, key string) bool {
-	if k.cfg.WallClock == nil {
-		return false
-	}
-	id, err := uuid.Parse(key)
-	if err != nil || id.Version() != 7 {
-		return false
-	}
-	sec, nsec := id.Time().UnixTime()
-	claim := k.cfg.WallClock(now).Add(-now.Sub(t.lostAt))
-	return time.Unix(sec, nsec).Sub(claim) >= uuidMargin
-}
-
 func (k *Keys) onEnd(now fleet.Time, from fleet.Member, e End) {
 	if e.Attempt.Caller != from || e.Scope.size() > maxScopeBytes {
 		return
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -127,7 +127,6 @@
 	n.core = core.New(core.Config{
 		Self: n.self, Region: n.region, Zone: n.zone, Stream: ConfigStream, RootKey: cfg.RootKey,
 		Seed: seed, Policy: cfg.Policy, ListSettle: cfg.ListSettle,
-		WallClock: func(t fleet.Time) time.Time { return n.origin.Add(time.Duration(t)) },
 	})
 	n.recorder = journal.New(journal.Config{
 		Self: n.self, Seed: seed, Log: cfg.Log, Now: n.Now, Logger: n.log, Metrics: n.metrics,
