--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,8 +47,13 @@
 	// maxWriteBytes is what one write call takes from the queue at most.
 	maxWriteBytes = 256 << 10
 
-	// maxPending bounds connections that have not said hello.
+	// maxPending bounds connections whose hello is not accepted yet or was refused.
 	maxPending = 256
+	// maxHelloBytes bounds a hello and a refusal. With the bound of all frames,
+	// connections without a hello could make this VM allocate 1 GiB.
+	maxHelloBytes = 4 << 10
+	// maxRefusedBytes is what is read of a refused peer before the connection closes.
+	maxRefusedBytes = 1 << 20
 	// maxPeers bounds the table of VMs that were heard.
 	maxPeers = 8192
 	// forgetAfter is how long a VM that is no longer listed stays in that table, so
@@ -131,6 +137,10 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "link listener")
 	}
+	if cfg.TLS == nil && !loopback(listener.Addr().String()) {
+		listener.Close()
+		return nil, result.Errorf(result.SettingsInvalid, "link listener %s is not a loopback address and has no certificates", cfg.Listener)
+	}
 	if cfg.Advertise == "" {
 		cfg.Advertise = listener.Addr().String()
 	}
@@ -160,6 +170,12 @@
 	return l, nil
 }
 
+// loopback reports whether an address, IP:port, can be used without certificates.
+func loopback(addr string) bool {
+	parsed, err := netip.ParseAddrPort(addr)
+	return err == nil && parsed.Addr().Unmap().IsLoopback()
+}
+
 // Addr returns the bound address.
 func (l *Links) Addr() string { return l.listener.Addr().String() }
 
--- a/pkg/link/messages.go
+++ b/pkg/link/messages.go
@@ -46,11 +46,12 @@
 	ReasonIdentity                    // the certificate does not name the VM
 	ReasonForm                        // no hello, or an incomplete one
 	ReasonFull                        // too many VMs are known
+	ReasonBusy                        // the handler still runs a message of an earlier connection
 )
 
 // String returns the reason's name in logs and metrics.
 func (r Reason) String() string {
-	names := [...]string{"none", "version", "fleet", "recipient", "older_incarnation", "identity", "form", "full"}
+	names := [...]string{"none", "version", "fleet", "recipient", "older_incarnation", "identity", "form", "full", "busy"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/pkg/link/receiver.go
+++ b/pkg/link/receiver.go
@@ -2,11 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"crypto/tls"
+	"encoding/binary"
+	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
 
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/tlsconf"
 	"github.com/fulmarbeam/fulmarbeam/pkg/wire"
 )
@@ -72,11 +77,13 @@
 	if refused == nil {
 		in, done, refused = l.admit(hello, conn)
 	}
+	if refused != nil {
+		l.refuse(conn, hello, refused)
+	}
 	l.mu.Lock()
 	l.pending--
 	l.mu.Unlock()
 	if refused != nil {
-		l.refuse(conn, hello, refused)
 		return
 	}
 	defer l.leave(in, conn, done)
@@ -102,7 +109,7 @@
 		}
 		conn = secured
 	}
-	m, err := wire.Read(conn)
+	m, err := readSmall(conn)
 	hello, ok := m.(*Hello)
 	switch {
 	case err != nil || !ok:
@@ -121,6 +128,19 @@
 	return conn, hello, nil
 }
 
+// readSmall reads a hello or a refusal. A longer frame is refused before memory is
+// allocated for it.
+func readSmall(r io.Reader) (fleet.Message, error) {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return nil, err
+	}
+	if n := binary.BigEndian.Uint32(size[:]); n > maxHelloBytes {
+		return nil, &wire.FrameError{Reason: fmt.Sprintf("%d bytes are too long here", n)}
+	}
+	return wire.Read(io.MultiReader(bytes.NewReader(size[:]), r))
+}
+
 // complete reports whether the hello names its sender and its texts are bounded.
 func (h *Hello) complete() bool {
 	for _, text := range []string{string(h.From.VM), string(h.Region), string(h.Zone), h.Links, h.Operators} {
@@ -140,8 +160,12 @@
 }
 
 // admit makes conn the VM's only connection. The reader of an earlier one has ended
-// when admit returns, so that messages of two connections never mix.
+// when admit returns, so that messages of two connections never mix. When the reader
+// does not end, because the handler blocks, the hello is refused: a peer that goes on
+// dialing must not take all the places of pending connections.
 func (l *Links) admit(hello *Hello, conn net.Conn) (*inbound, chan struct{}, *Refused) {
+	timeout := time.NewTimer(helloTimeout)
+	defer timeout.Stop()
 	for {
 		l.mu.Lock()
 		in := l.heard[hello.From.VM]
@@ -172,7 +196,11 @@
 		in.conn.Close()
 		earlier := in.done
 		l.mu.Unlock()
-		<-earlier
+		select {
+		case <-earlier:
+		case <-timeout.C:
+			return nil, nil, &Refused{Reason: ReasonBusy}
+		}
 	}
 }
 
@@ -202,8 +230,11 @@
 	}
 	refused.By = l.cfg.Self
 	if frame, err := wire.Encode(refused); err == nil {
-		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_ = conn.SetDeadline(time.Now().Add(writeTimeout))
 		_, _ = conn.Write(frame)
+		// Closing with unread data resets the connection, and the peer might not see
+		// the refusal. The peer closes once it has read it.
+		_, _ = io.Copy(io.Discard, io.LimitReader(conn, maxRefusedBytes))
 	}
 }
 
--- a/pkg/link/sender.go
+++ b/pkg/link/sender.go
@@ -28,6 +28,7 @@
 
 	mu        sync.Mutex
 	addr      string
+	conn      net.Conn // nil while there is none
 	queue     []queued
 	bytes     int
 	connected bool
@@ -55,10 +56,18 @@
 	}
 }
 
+// setAddress changes where the peer is dialed. A connection to the earlier address
+// ends: the process there may be paused or may be another VM by now.
 func (s *sender) setAddress(addr string) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.addr == addr {
+		return
+	}
 	s.addr = addr
-	s.mu.Unlock()
+	if s.conn != nil {
+		s.conn.Close()
+	}
 }
 
 // push appends a frame and drops the oldest ones beyond the bounds.
@@ -79,6 +88,20 @@
 	s.notify()
 }
 
+// expire drops the messages that are too old, so that the queues of many silent
+// peers do not hold memory until they return.
+func (s *sender) expire(now time.Time) {
+	s.mu.Lock()
+	old := 0
+	for old < len(s.queue) && now.Sub(s.queue[old].at) > maxQueueAge {
+		s.bytes -= len(s.queue[old].frame)
+		old++
+	}
+	s.discard(old)
+	s.mu.Unlock()
+	s.links.counters.dropped("too_old").Add(old)
+}
+
 // discard removes the first n frames. The caller holds mu and has corrected bytes.
 func (s *sender) discard(n int) {
 	clear(s.queue[:n]) // lets go of the frames although the array stays
@@ -119,9 +142,11 @@
 	}
 }
 
-func (s *sender) setConnected(yes bool) {
+// setConn says which connection is in use, or nil when it has ended.
+func (s *sender) setConn(conn net.Conn) {
 	s.mu.Lock()
-	s.connected = yes
+	s.conn = conn
+	s.connected = conn != nil
 	s.writing = false
 	s.signalIdle()
 	s.mu.Unlock()
@@ -152,12 +177,13 @@
 	defer s.cancel()
 	backoff := minBackoff
 	for s.ctx.Err() == nil {
-		began := time.Now()
-		err := s.connectAndSend()
+		connected, err := s.connectAndSend()
 		if s.ctx.Err() != nil {
 			return
 		}
-		if time.Since(began) > maxBackoff {
+		s.expire(time.Now())
+		// A dial that times out takes as long, but is no reason to dial sooner.
+		if connected > maxBackoff {
 			backoff = minBackoff
 		}
 		s.links.log.V(1).Info("link closed", "peer", s.peer, "error", errText(err), "retry_in", backoff)
@@ -179,13 +205,20 @@
 	return err.Error()
 }
 
-// connectAndSend dials once and sends until the connection fails.
-func (s *sender) connectAndSend() error {
-	conn, err := s.dial()
+// connectAndSend dials once and sends until the connection fails. It returns how
+// long the connection lasted.
+func (s *sender) connectAndSend() (time.Duration, error) {
+	conn, addr, err := s.dial()
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer conn.Close()
+	began := time.Now()
+	err = s.use(conn, addr)
+	return time.Since(began), err
+}
+
+func (s *sender) use(conn net.Conn, addr string) error {
 	stop := context.AfterFunc(s.ctx, func() { conn.Close() })
 	defer stop()
 	hello := s.links.hello
@@ -200,8 +233,11 @@
 	closed := make(chan error, 1)
 	s.links.wg.Add(1)
 	go s.watch(conn, closed)
-	s.setConnected(true)
-	defer s.setConnected(false)
+	s.setConn(conn)
+	defer s.setConn(nil)
+	if s.address() != addr { // changed while the connection was made
+		return errors.New("the address has changed")
+	}
 	return s.sendLoop(conn, closed)
 }
 
@@ -256,27 +292,34 @@
 	return nil
 }
 
-func (s *sender) dial() (net.Conn, error) {
+func (s *sender) address() string {
 	s.mu.Lock()
-	addr := s.addr
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return s.addr
+}
+
+func (s *sender) dial() (net.Conn, string, error) {
+	addr := s.address()
+	if s.links.cfg.TLS == nil && !loopback(addr) {
+		return nil, addr, errors.Errorf("%s is not a loopback address and no certificates are configured", addr)
+	}
 	ctx, cancel := context.WithTimeout(s.ctx, dialTimeout)
 	defer cancel()
 	dialer := net.Dialer{Control: setAckTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil || s.links.cfg.TLS == nil {
-		return conn, err
+		return conn, addr, err
 	}
 	secured := tls.Client(conn, s.links.cfg.TLS.Client(string(s.peer)))
 	if err := secured.HandshakeContext(ctx); err != nil {
 		conn.Close()
-		return nil, errors.Annotate(err, "TLS handshake")
+		return nil, addr, errors.Annotate(err, "TLS handshake")
 	}
 	if !tlsconf.Names(secured.ConnectionState(), string(s.peer)) {
 		conn.Close()
-		return nil, errors.Errorf("the certificate of %s does not name %s", addr, s.peer)
+		return nil, addr, errors.Errorf("the certificate of %s does not name %s", addr, s.peer)
 	}
-	return secured, nil
+	return secured, addr, nil
 }
 
 func setAckTimeout(_, _ string, raw syscall.RawConn) error {
@@ -294,7 +337,7 @@
 // else arrives on it.
 func (s *sender) watch(conn net.Conn, closed chan<- error) {
 	defer s.links.wg.Done()
-	m, err := wire.Read(conn)
+	m, err := readSmall(conn)
 	if refused, ok := m.(*Refused); ok && err == nil {
 		err = errors.Errorf("refused: %s", refused.Reason)
 		s.links.counters.refusedBy(refused.Reason).Inc()
