--- a/cmd/fulmarctl/explain.go
+++ b/cmd/fulmarctl/explain.go
@@ -16,6 +16,9 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
 )
 
+// explainTimeout is what the operators' API takes at most to answer, and a margin.
+const explainTimeout = 17 * time.Second
+
 // explainFlags are the flags of explain.
 type explainFlags struct {
 	service, server, request, kind, vm string
@@ -71,6 +74,7 @@
 			if err != nil {
 				return err
 			}
+			o.tryTimeout = max(o.tryTimeout, explainTimeout) // the VM waits for silent VMs and the stream
 			explanation, err := ask(cmd, o, func(ctx context.Context, c *operator.Client) (operator.Explanation, error) {
 				return c.Explain(ctx, q)
 			})
--- a/cmd/fulmarctl/fleet.go
+++ b/cmd/fulmarctl/fleet.go
@@ -105,14 +105,17 @@
 		if vm.ID != id {
 			continue
 		}
-		if vm.Operators == "" {
+		addresses := []string{vm.Operators}
+		if vm.Operators == "" && vm.Self {
+			addresses = o.addresses // another VM among them refuses, since the request names the VM
+		} else if vm.Operators == "" {
 			return operator.DrainStatus{}, result.Errorf(result.Unreachable, "the address of the operators' API of %s is not known, give it with --address", id)
 		}
 		name := o.tlsName
 		if o.tls.CA != "" {
 			name = string(id) // another VM at that address must not be drained
 		}
-		c, err := o.client(o.tryTimeout, name, vm.Operators)
+		c, err := o.client(o.tryTimeout, name, addresses...)
 		if err != nil {
 			return operator.DrainStatus{}, err
 		}
--- a/cmd/fulmarctl/root.go
+++ b/cmd/fulmarctl/root.go
@@ -48,7 +48,7 @@
 	}
 	coded := codedError(err)
 	if o.output == outputJSON {
-		_ = json.NewEncoder(stderr).Encode(operator.Failure{Code: coded.Code, Name: coded.Code.String(), Detail: coded.Detail})
+		_ = json.NewEncoder(stderr).Encode(operator.Failure{Code: coded.Code, Name: coded.Code.String(), Outcome: coded.Code.Info().Outcome, Detail: coded.Detail})
 	} else {
 		fmt.Fprintln(stderr, "error:", coded)
 	}
--- a/pkg/operator/api.go
+++ b/pkg/operator/api.go
@@ -66,6 +66,7 @@
 		a.log = logr.Discard()
 	}
 	e := echo.New()
+	e.JSONSerializer = serializer{}
 	e.HTTPErrorHandler = a.fail
 	e.Pre(a.identify)
 	e.Use(a.bound, a.recovered)
@@ -143,11 +144,14 @@
 // bound limits the body and the time of a request and how many run at once.
 func (a *api) bound(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		select {
-		case a.running <- struct{}{}:
-			defer func() { <-a.running }()
-		default:
-			return result.Errorf(result.NoCapacity, "%d requests are already running", maxRequests)
+		// Publishes that wait must not fail the load balancer's readiness checks.
+		if path := c.Path(); path != "/v1/health" && path != "/v1/ready" {
+			select {
+			case a.running <- struct{}{}:
+				defer func() { <-a.running }()
+			default:
+				return result.Errorf(result.NoCapacity, "%d requests are already running", maxRequests)
+			}
 		}
 		limit := requestTimeout
 		if c.Path() == "/v1/config/publish" {
@@ -174,9 +178,25 @@
 	a.answerFailure(c, coded.Code, coded.Detail, nil)
 }
 
-func (a *api) answerFailure(c echo.Context, code result.Code, detail string, verdict *Verdict) {
+// serializer writes JSON without escapes for HTML: a section's content must arrive as
+// it was signed.
+type serializer struct{ echo.DefaultJSONSerializer }
+
+// Serialize writes v as JSON.
+func (serializer) Serialize(c echo.Context, v any, _ string) error {
+	enc := json.NewEncoder(c.Response())
+	enc.SetEscapeHTML(false)
+	return enc.Encode(v)
+}
+
+func setCode(c echo.Context, code result.Code) {
 	c.Response().Header().Set("Fulmar-Code", strconv.Itoa(int(code)))
-	body := Failure{Code: code, Name: code.String(), Detail: detail, RequestID: requestID(c), Verdict: verdict}
+	c.Response().Header().Set("Fulmar-Outcome", string(code.Info().Outcome))
+}
+
+func (a *api) answerFailure(c echo.Context, code result.Code, detail string, verdict *Verdict) {
+	setCode(c, code)
+	body := Failure{Code: code, Name: code.String(), Outcome: code.Info().Outcome, Detail: detail, RequestID: requestID(c), Verdict: verdict}
 	if err := c.JSON(code.Info().HTTP, body); err != nil {
 		a.log.V(1).Info("answer not sent", "error", err.Error())
 	}
@@ -226,6 +246,8 @@
 	return result.Errorf(result.UsageError, "the body is not the expected JSON: %v", err)
 }
 
+func missing(raw json.RawMessage) bool { return len(raw) == 0 || string(raw) == "null" }
+
 func (a *api) health(c echo.Context) error {
 	return c.JSON(http.StatusOK, map[string]any{"status": "ok", "vm": a.backend.Self().ID})
 }
@@ -235,11 +257,11 @@
 	if r.Ready {
 		return c.JSON(http.StatusOK, r)
 	}
-	code := result.NotReady
-	if len(r.Reasons) > 0 {
-		code = r.Reasons[0].Code
+	if len(r.Reasons) == 0 {
+		r.Reasons = []ReasonLine{Reason(result.NotReady, "no reason is known")}
 	}
-	c.Response().Header().Set("Fulmar-Code", strconv.Itoa(int(code)))
+	code := r.Reasons[0].Code
+	setCode(c, code)
 	return c.JSON(http.StatusServiceUnavailable, r)
 }
 
@@ -253,7 +275,7 @@
 	if err := read(c, &req); err != nil {
 		return err
 	}
-	if len(req.Edit) == 0 {
+	if missing(req.Edit) {
 		return result.Errorf(result.UsageError, "the field edit is missing")
 	}
 	v, err := a.backend.Check(c.Request().Context(), req.Edit)
@@ -272,7 +294,7 @@
 		req.Timeout = Millis(DefaultWait.Milliseconds())
 	}
 	switch {
-	case len(req.Edit) == 0:
+	case missing(req.Edit):
 		return result.Errorf(result.UsageError, "the field edit is missing")
 	case req.Wait != WaitNone && req.Wait != WaitAccepted && req.Wait != WaitApplied:
 		return result.Errorf(result.UsageError, "wait is none, accepted or applied, not %q", req.Wait)
@@ -288,7 +310,7 @@
 	if err := read(c, &req); err != nil {
 		return err
 	}
-	if len(req.Record) == 0 {
+	if missing(req.Record) {
 		return result.Errorf(result.UsageError, "the field record is missing")
 	}
 	v, err := a.backend.Genesis(c.Request().Context(), req.Record)
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -72,10 +74,13 @@
 func (c *Client) do(ctx context.Context, method, path string, query url.Values, body, into any) error {
 	var data []byte
 	if body != nil {
-		var err error
-		if data, err = json.Marshal(body); err != nil {
+		var buf bytes.Buffer
+		enc := json.NewEncoder(&buf)
+		enc.SetEscapeHTML(false) // a signed edit must arrive as it was signed
+		if err := enc.Encode(body); err != nil {
 			return result.Errorf(result.Internal, "request: %v", err)
 		}
+		data = buf.Bytes()
 	}
 	var last error
 	maybeSent := false
@@ -95,12 +100,17 @@
 			break
 		}
 	}
-	if maybeSent && method == http.MethodPost && worthAnother(last) {
+	var judged *verdictError
+	if maybeSent && appends(path) && !errors.As(last, &judged) {
 		return result.Errorf(result.ConfigUnknown, "the request may have taken effect: %v", last)
 	}
 	return last
 }
 
+// appends reports whether a request appends a record, so that a lost answer leaves
+// its outcome unknown.
+func appends(path string) bool { return path == "/v1/config/publish" || path == "/v1/config/genesis" }
+
 // lostError is the failure of a request that may have reached the VM.
 type lostError struct{ cause *result.Error }
 
@@ -109,11 +119,10 @@
 func (e *lostError) Unwrap() error { return e.cause }
 
 // unanswered classifies the failure of a request without an answer. Only a failed
-// connect proves that the VM has not seen the request.
-func unanswered(err error) error {
+// connect or TLS handshake proves that the VM has not seen the request.
+func unanswered(err error, connected bool) error {
 	cause := result.Errorf(result.Unreachable, "%v", err)
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if !connected {
 		return cause
 	}
 	return &lostError{cause}
@@ -155,9 +164,11 @@
 	if data != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := c.http.Do(req)
+	connected := atomic.Bool{}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return unanswered(err)
+		return unanswered(err, connected.Load())
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
@@ -169,7 +180,7 @@
 	}
 	if resp.StatusCode == http.StatusOK {
 		if err := json.Unmarshal(answer, into); err != nil {
-			return result.Errorf(result.Unreachable, "%s: answer: %v", url, err)
+			return &lostError{result.Errorf(result.Unreachable, "%s: answer: %v", url, err)}
 		}
 		return nil
 	}
@@ -185,7 +196,7 @@
 	}
 	var f Failure
 	if err := json.Unmarshal(answer, &f); err != nil || f.Code == result.OK {
-		return result.Errorf(result.Unreachable, "%s: status %d without a result code", url, status)
+		return &lostError{result.Errorf(result.Unreachable, "%s: status %d without a result code", url, status)}
 	}
 	if f.Verdict != nil {
 		return &verdictError{*f.Verdict}
--- a/pkg/operator/explain.go
+++ b/pkg/operator/explain.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net/url"
@@ -22,7 +23,7 @@
 	// is worth more than none.
 	peerTimeout = 3 * time.Second
 	// peerParallel bounds the VMs that are asked at once.
-	peerParallel = 16
+	peerParallel = 64
 	// StreamSource names the log stream among the sources of an explanation.
 	StreamSource = "stream"
 )
@@ -126,12 +127,7 @@
 		}
 	}
 	out.Events = append(out.Events, journal.Merge(q.Limit, lists...)...)
-	slices.SortFunc(out.Sources[1:], func(x, y Source) int {
-		if x.Name < y.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out.Sources[1:], func(x, y Source) int { return cmp.Compare(x.Name, y.Name) })
 	return out, nil
 }
 
@@ -165,20 +161,30 @@
 	return part{source: Source{Name: name, Code: coded.Code, Detail: coded.Detail}}
 }
 
-func (a *api) askStream(ctx context.Context, q journal.Query) part {
+// recoverPart makes a panic a failed part. These goroutines are outside the
+// recovery of the request, and a panic in them would end the process.
+func recoverPart(name string, p *part) {
+	if r := recover(); r != nil {
+		*p = failedPart(name, result.Errorf(result.Internal, "panic: %v", r))
+	}
+}
+
+func (a *api) askStream(ctx context.Context, q journal.Query) (p part) {
+	defer recoverPart(StreamSource, &p)
 	reading, err := a.backend.Stream(ctx, q)
 	if err != nil {
 		return failedPart(StreamSource, err)
 	}
-	p := part{source: Source{Name: StreamSource}, events: reading.Events, omitted: reading.Omitted}
+	p = part{source: Source{Name: StreamSource}, events: reading.Events, omitted: reading.Omitted}
 	if reading.Partial {
 		p.source.Detail = "the stream was read up to its bound only, give a shorter time range"
 	}
 	return p
 }
 
-func (a *api) askVM(ctx context.Context, vm VMStatus, q journal.Query) part {
+func (a *api) askVM(ctx context.Context, vm VMStatus, q journal.Query) (p part) {
 	name := string(vm.ID)
+	defer recoverPart(name, &p)
 	if a.dial == nil || vm.Operators == "" {
 		return failedPart(name, result.Errorf(result.Unreachable, "the address of its operators' API is not known here"))
 	}
--- a/pkg/operator/failure.go
+++ b/pkg/operator/failure.go
@@ -12,11 +12,12 @@
 
 // Failure is the body of every answer that is no success.
 type Failure struct {
-	Code      result.Code `json:"code"`
-	Name      string      `json:"name"`
-	Detail    string      `json:"detail"`
-	RequestID string      `json:"request_id"`
-	Verdict   *Verdict    `json:"verdict,omitempty"` // of an edit that was judged and not accepted
+	Code      result.Code    `json:"code"`
+	Name      string         `json:"name"`
+	Outcome   result.Outcome `json:"outcome"`
+	Detail    string         `json:"detail"`
+	RequestID string         `json:"request_id"`
+	Verdict   *Verdict       `json:"verdict,omitempty"` // of an edit that was judged and not accepted
 }
 
 // asResult finds the result code of an error.
