Keep the wait after lost history across a takeover; model the floor

Cause: the Spin model of the ejection floor found that an owner with lost history could recruit a copy during its wait, and that the copy, taking over, ejected at once while clients still obeyed ejections of the lost members. Change: export and replication carry what is left of the wait; a process that replaces another on a VM drops its evidence; a client of another region's pool asks the next VM when the known owner is silent. Tests for probation without idempotent work, for unreachable servers and for identical runs by seed.

--- a/pkg/pool/client.go
+++ b/pkg/pool/client.go
@@ -90,6 +90,7 @@
 	mode     mode
 	version  uint64
 	hint     *Redirect
+	asked    int // which VM of another region to ask for the owner
 	epoch    uint64
 	ack      uint64
 	seq      uint64
--- a/pkg/pool/clientcredits.go
+++ b/pkg/pool/clientcredits.go
@@ -29,7 +29,7 @@
 		// Views are announced within a region; any VM there redirects to the owner.
 		vms := fleet.Rendezvous(c.pool.shard.String(), c.p.dir.RegionVMs(c.pool.id.Region))
 		if len(vms) > 0 {
-			return Redirect{Pool: c.pool.id, Owner: fleet.Member{VM: vms[0].ID, Incarnation: 1}}, true
+			return Redirect{Pool: c.pool.id, Owner: fleet.Member{VM: vms[c.asked%len(vms)].ID, Incarnation: 1}}, true
 		}
 	}
 	return r, ok
@@ -410,6 +410,10 @@
 			break
 		}
 		c.dropGrants()
+		if !c.home() && c.waiting > 0 && now.Sub(c.waiting) > ownerSilence {
+			c.hint, c.waiting = nil, 0 // ask another VM of that region who the owner is
+			c.asked++
+		}
 		if c.waiting == 0 || now.Sub(c.waiting) < ownerSilence || !c.home() {
 			break // nothing was asked lately, or no fallback
 		}
--- a/pkg/pool/credits.go
+++ b/pkg/pool/credits.go
@@ -112,6 +112,7 @@
 			return cc
 		}
 		c.release(cc)
+		c.forgetSource(cc)
 		c.clients = slices.Delete(c.clients, k, k+1)
 	}
 	cc := &creditClient{member: from, routes: map[uint32]RouteStat{}}
--- a/pkg/pool/detect_test.go
+++ b/pkg/pool/detect_test.go
@@ -50,6 +50,7 @@
 func TestGrayServerIsDetected(t *testing.T) {
 	for name, fault := range map[string]func(*simServer){
 		"failing 30%":       func(s *simServer) { s.fail = 0.3 },
+		"unreachable":       func(s *simServer) { s.dead = true },
 		"five times slower": func(s *simServer) { s.slow = 5 },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/pool/floor_test.go
+++ b/pkg/pool/floor_test.go
@@ -210,3 +210,43 @@
 		require.Empty(t, s.refusals[result.NoServer])
 	}
 }
+
+// Guards against a server that never returns because there is no idempotent work to
+// try it with, and against passing probes that bring a gray server back for long.
+func TestProbationWithoutIdempotentWork(t *testing.T) {
+	s := newSim(t, 6, 8, 20, usualFloor, PolicyCredits)
+	s.rate, s.routes[0].once = 400, true
+	s.after(5*time.Second, func() { s.gray(7, 8) })
+	s.run(90 * time.Second)
+	srv := s.servers["s07"]
+	late := 0
+	for _, x := range srv.ordinary {
+		if x > s.now.Add(-30*time.Second) {
+			late++
+		}
+	}
+	t.Logf("ejections %d, work in the last 30 s of grayness %d", s.count(EventEjected), late)
+	require.Less(t, late, 60) // of about 600
+	s.heal(7, 8)
+	well := s.now
+	s.run(30 * time.Second)
+	require.Greater(t, srv.ordinary[len(srv.ordinary)-1], well)
+}
+
+// Guards against decisions that depend on map order or a hidden clock.
+func TestSameSeedSameRun(t *testing.T) {
+	run := func() (int, int, int) {
+		s := newSim(t, 9, 8, 20, usualFloor, PolicyCredits)
+		s.rate, s.stragg = 900, 0.02
+		s.routes = append(s.routes, simRoute{name: "report", work: 300 * ms, spread: 0.5, weight: 2, share: 0.05, deadline: 9 * time.Second})
+		s.routes[0].share = 0.95
+		s.after(5*time.Second, func() { s.gray(2, 5) })
+		s.run(15 * time.Second)
+		return s.bytes, s.done, len(s.events)
+	}
+	bytes, done, events := run()
+	for range 3 {
+		b, d, e := run()
+		require.Equal(t, []int{bytes, done, events}, []int{b, d, e})
+	}
+}
--- a/pkg/pool/messages.go
+++ b/pkg/pool/messages.go
@@ -135,12 +135,18 @@
 	Cause   string         `msgpack:"w"`
 }
 
+// EjectionState is the state of a pool's shard.
+type EjectionState struct {
+	Wait int64            `msgpack:"w,omitempty"` // milliseconds until the first ejection after lost history
+	Set  []EjectionRecord `msgpack:"s,omitempty"`
+}
+
 // Replicate carries the owner's ejected set to the copy.
 type Replicate struct {
-	Pool    fleet.PoolID     `msgpack:"p"`
-	Version uint64           `msgpack:"v"`
-	Seq     uint64           `msgpack:"n"`
-	Set     []EjectionRecord `msgpack:"s,omitempty"`
+	Pool    fleet.PoolID  `msgpack:"p"`
+	Version uint64        `msgpack:"v"`
+	Seq     uint64        `msgpack:"n"`
+	State   EjectionState `msgpack:"s"`
 }
 
 // Kind returns the message's number.
--- a/pkg/pool/peak_test.go
+++ b/pkg/pool/peak_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -105,7 +106,7 @@
 
 // Guards against short work that waits behind stragglers and behind long work.
 func TestShortWorkIsNotBlocked(t *testing.T) {
-	p99 := func(seed uint64, stragglers float64, long bool) time.Duration {
+	p99 := func(t *testing.T, seed uint64, stragglers float64, long bool) time.Duration {
 		s := newSim(t, seed, 12, 20, usualFloor, PolicyCredits)
 		s.stragg = stragglers
 		mean := 0.0209 * (1 + 49*stragglers)
@@ -123,9 +124,12 @@
 		return quantile(s.waits["menu"], 0.99)
 	}
 	for seed := range uint64(3) {
-		plain, stragglers, long := p99(seed, 0, false), p99(seed, 0.05, false), p99(seed, 0, true)
-		t.Logf("seed %d: p99 wait %v plain, %v with stragglers, %v beside long work", seed, plain, stragglers, long)
-		assert.LessOrEqual(t, stragglers, 2*plain)
-		assert.LessOrEqual(t, long, 2*plain)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			plain, stragglers, long := p99(t, seed, 0, false), p99(t, seed, 0.05, false), p99(t, seed, 0, true)
+			t.Logf("p99 wait %v plain, %v with stragglers, %v beside long work", plain, stragglers, long)
+			assert.LessOrEqual(t, stragglers, 2*plain)
+			assert.LessOrEqual(t, long, 2*plain)
+		})
 	}
 }
--- a/pkg/pool/replica.go
+++ b/pkg/pool/replica.go
@@ -31,15 +31,15 @@
 
 // Import replaces the ejected set.
 func (p *Pools) Import(id shard.ID, state []byte) error {
-	var set []EjectionRecord
-	if err := msgpack.Unmarshal(state, &set); err != nil {
+	var es EjectionState
+	if err := msgpack.Unmarshal(state, &es); err != nil {
 		return result.Errorf(result.Internal, "import of %s: %v", id, err)
 	}
 	pl := p.shardPool(id)
 	if pl.coord == nil {
 		pl.coord = newCoord(pl)
 	}
-	pl.coord.load(p.now, set)
+	pl.coord.load(p.now, es)
 	return nil
 }
 
@@ -66,25 +66,30 @@
 // Dropped discards the state.
 func (p *Pools) Dropped(id shard.ID) { p.shardPool(id).coord = nil }
 
-// records returns the ejected set with ages.
-func (c *coord) records(now fleet.Time) []EjectionRecord {
-	var set []EjectionRecord
+// records returns the ejected set with ages, and what is left of the wait after lost
+// history, which a copy must keep when it takes over.
+func (c *coord) records(now fleet.Time) EjectionState {
+	var es EjectionState
+	if left := c.ejectAt.Sub(now); left > 0 {
+		es.Wait = left.Milliseconds() + 1
+	}
 	for _, e := range c.ejections {
 		rec := EjectionRecord{Server: e.server, Phase: uint8(e.phase), Age: now.Sub(e.since).Milliseconds(), Score: e.score, Cause: e.cause}
 		for _, t := range e.history {
 			rec.History = append(rec.History, now.Sub(t).Milliseconds())
 		}
-		set = append(set, rec)
+		es.Set = append(es.Set, rec)
 	}
-	return set
+	return es
 }
 
 // load replaces the ejected set. Ages shrink on the way, so that every end computed
 // here lies later than at the sender.
-func (c *coord) load(now fleet.Time, set []EjectionRecord) {
+func (c *coord) load(now fleet.Time, es EjectionState) {
+	c.ejectAt = now.Add(time.Duration(es.Wait) * time.Millisecond)
 	ago := func(ms int64) fleet.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	c.ejections = nil
-	for _, rec := range set {
+	for _, rec := range es.Set {
 		e := &ejection{server: rec.Server, row: -1, phase: phase(rec.Phase), since: ago(rec.Age), score: rec.Score, cause: rec.Cause}
 		for _, ms := range rec.History {
 			e.history = append(e.history, ago(ms))
@@ -98,7 +103,7 @@
 func (c *coord) replicate(now fleet.Time) {
 	c.repSeq++
 	c.repSent, c.repDirty = now, false
-	c.p.send(c.copyOf.VM, &Replicate{Pool: c.pool.id, Version: c.version, Seq: c.repSeq, Set: c.records(now)})
+	c.p.send(c.copyOf.VM, &Replicate{Pool: c.pool.id, Version: c.version, Seq: c.repSeq, State: c.records(now)})
 }
 
 func (p *Pools) onReplicate(from fleet.Member, m *Replicate) {
@@ -117,7 +122,7 @@
 		return
 	}
 	pl.coord.repSeq = m.Seq
-	pl.coord.load(p.now, m.Set)
+	pl.coord.load(p.now, m.State)
 	p.send(from.VM, &ReplicateAck{Pool: m.Pool, Version: m.Version, Seq: m.Seq})
 }
 
--- a/pkg/pool/share_test.go
+++ b/pkg/pool/share_test.go
@@ -144,6 +144,12 @@
 	require.Len(t, want, 2)
 	require.Equal(t, want, got)
 	require.Equal(t, want, s.vms[1].p.pools[poolID].coord.ejectedRefs(), "the copy knows them too")
+	// A copy recruited during the wait after lost history inherits the wait.
+	s.vms[0].p.Lost(id, s.now)
+	state, err = s.vms[0].p.Export(id)
+	require.NoError(t, err)
+	require.NoError(t, s.vms[4].p.Import(id, state))
+	require.GreaterOrEqual(t, s.vms[4].p.pools[poolID].coord.ejectAt, s.now.Add(ejectionLease))
 	var e *result.Error
 	require.ErrorAs(t, s.vms[4].p.Import(id, []byte{0xc1}), &e)
 }
--- a/pkg/pool/sim_test.go
+++ b/pkg/pool/sim_test.go
@@ -69,6 +69,7 @@
 	ordinary []fleet.Time
 	served   int
 	drains   bool                        // answers that it is leaving
+	dead     bool                        // takes no connection
 	flap     func(at time.Duration) bool // gray at this time
 }
 
@@ -136,7 +137,7 @@
 		s.vms = append(s.vms, vm)
 	}
 	doc := &document.Index{Doc: &document.Document{Sections: map[string]document.Section{"t": {Services: map[fleet.Service]document.Service{
-		service: {Servers: servers, Slots: s.slots, Floor: floor, Connections: 330},
+		service: {Servers: servers, Slots: s.slots, Floor: floor, Connections: 330, HealthPath: "/health"},
 	}}}}}
 	dir := s.directory()
 	for _, vm := range s.vms {
@@ -258,6 +259,9 @@
 			s.at(s.vms[to], func() { s.vms[to].p.Step(s.now, vm.member, m) })
 		})
 	}
+	for _, probe := range vm.p.Probes() { // probes pass, gray or not
+		s.after(25*ms, func() { s.at(vm, func() { vm.p.Probed(s.now, probe.Pool, probe.Server.ID, true) }) })
+	}
 	s.events = append(s.events, vm.p.Events()...)
 	for _, d := range vm.p.Decisions() {
 		s.decided(vm, d)
@@ -335,7 +339,7 @@
 	if !d.Trial {
 		srv.ordinary = append(srv.ordinary, s.now)
 	}
-	if s.cutSrv(vm, srv) {
+	if srv.dead || s.cutSrv(vm, srv) {
 		s.after(250*ms, func() { s.end(vm, q, End{EndUnreachable, 250 * ms}) })
 		return
 	}
