Send the coordinator's probes and keep work queued while a coordinator opens

Cause: a coordinator that has just taken over lends nothing for one lease (1.75 s), longer than the bound of 1 s on the queue, so requests right after a start or a takeover were refused with no_capacity; the coordinator's probes were never sent, so servers without idempotent work were not readmitted. Change: the state tells clients when lending begins and the queue's bound counts from there; the node sends probes on connections of their own. Conclusion: a start or takeover delays work instead of refusing it.

--- a/pkg/core/requests.go
+++ b/pkg/core/requests.go
@@ -53,6 +53,15 @@
 // WorkDecisions returns and clears the decisions on submitted work.
 func (n *Node) WorkDecisions() []pool.Decision { return n.pools.Decisions() }
 
+// Probes returns and clears the health probes to send.
+func (n *Node) Probes() []pool.Probe { return n.pools.Probes() }
+
+// Probed reports whether a probe passed.
+func (n *Node) Probed(now fleet.Time, probe pool.Probe, passed bool) {
+	n.pools.Probed(now, probe.Pool, probe.Server.ID, passed)
+	n.settle(now)
+}
+
 // PoolStatus returns what this VM knows of each pool and its servers.
 func (n *Node) PoolStatus() []pool.PoolStatus { return n.pools.Status() }
 
--- a/pkg/node/loops.go
+++ b/pkg/node/loops.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/configlog"
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/link"
 	"github.com/fulmarbeam/fulmarbeam/pkg/platform"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
 )
 
 func (n *Node) tickLoop(ctx context.Context) {
@@ -17,6 +19,7 @@
 		select {
 		case <-ticker.C:
 			n.lockedDo(n.core.Tick)
+			n.sendProbes(ctx)
 		case <-ctx.Done():
 			return
 		}
@@ -137,3 +140,39 @@
 		})
 	}
 }
+
+// sendProbes sends the probes that the coordinator asks for. It asks for one ejected
+// server at a time, so they need no bound of their own.
+func (n *Node) sendProbes(ctx context.Context) {
+	n.mu.Lock()
+	probes := n.core.Probes()
+	n.mu.Unlock()
+	for _, p := range probes {
+		n.loops.Add(1)
+		go func() {
+			defer n.loops.Done()
+			passed := n.probe(ctx, p)
+			n.lockedDo(func(now fleet.Time) { n.core.Probed(now, p, passed) })
+		}()
+	}
+}
+
+// probe asks a server's health endpoint and reports whether it answered with success.
+func (n *Node) probe(ctx context.Context, p pool.Probe) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	addr := p.Server.Addr
+	if n.cfg.ServerAddress != nil {
+		addr = n.cfg.ServerAddress(p.Server)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+p.Path, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := n.probes.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -39,6 +39,8 @@
 	idlePoll = 20 * time.Millisecond
 	// listRetry is the pause after a failed reading of the platform's list.
 	listRetry = 500 * time.Millisecond
+	// probeTimeout bounds one health probe.
+	probeTimeout = time.Second
 	// operatorGrace is how long the operators' API may take to end its requests.
 	operatorGrace = time.Second
 )
@@ -77,6 +79,9 @@
 	metrics *metrics.Set
 	tracing *telemetry.Tracing
 
+	// probes opens a connection for each probe, so that a probe does not pass on a
+	// connection that new requests could not open.
+	probes    *http.Client
 	links     *link.Links
 	proxy     *proxy.Proxy
 	recorder  *journal.Recorder
@@ -112,6 +117,7 @@
 		cfg: cfg, log: cfg.Logger, origin: time.Now(), metrics: telemetry.NewMetrics(),
 		region: fleet.Region(cfg.Settings.VM.Region), zone: fleet.Zone(cfg.Settings.VM.Zone),
 		drainReq: make(chan struct{}),
+		probes:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		work:     make(map[pool.WorkID]chan pool.Decision),
 		reserves: make(map[keys.ReserveID]chan keys.Decision),
 		edits:    make(map[string][]chan configlog.Verdict),
--- a/pkg/pool/client.go
+++ b/pkg/pool/client.go
@@ -101,6 +101,7 @@
 	stateAt  fleet.Time
 	usedPct  int
 	cutoff   int8
+	openAt   fleet.Time // a new coordinator lends unreported slots from here on
 
 	lastSync   fleet.Time
 	lastAway   fleet.Time
@@ -160,10 +161,7 @@
 		}
 	}
 	it := &item{work: w, pool: pl, route: r, since: now, class: class, long: r.long, picky: len(w.Exclude) > 0, index: -1}
-	it.expiry = now.Add(maxQueueWait)
-	if w.Deadline > 0 {
-		it.expiry = min(it.expiry, w.Deadline.Add(-r.p90()))
-	}
+	it.expiry = it.waitsUntil(now)
 	c.admit(now, it)
 	c.needSlot(now)
 	p.deliver()
--- a/pkg/pool/clientcredits.go
+++ b/pkg/pool/clientcredits.go
@@ -265,6 +265,9 @@
 	c.answered(now, m.Echo)
 	c.leaseEnd = max(c.leaseEnd, sent.Add(creditLease))
 	c.stateAt, c.usedPct, c.cutoff = now, m.Used, int8(m.Cutoff)
+	if m.Opening > 0 {
+		c.openAt = now.Add(time.Duration(m.Opening) * time.Millisecond)
+	}
 	c.takeRoutes(m.Routes)
 	c.takeEjected(now, sent, m)
 	if now < c.leaseEnd && c.p.cfg.Policy == PolicyCredits {
--- a/pkg/pool/credits.go
+++ b/pkg/pool/credits.go
@@ -312,6 +312,9 @@
 		Pool: c.pool.id, Version: c.version, Epoch: c.epoch, Seq: cc.stateSeq, Echo: cc.seq,
 		Copy: c.role == shard.RoleCopy, Cutoff: int(c.cutoff), Used: c.usedPct,
 	}
+	if left := c.openAt.Sub(now); left > 0 {
+		m.Opening = int(left/time.Millisecond) + 1
+	}
 	for k := range cc.lends {
 		if l := &cc.lends[k]; l.target > 0 {
 			m.Grants = append(m.Grants, Grant{Ref: c.pool.rows[l.row].ref, Total: l.target, Long: l.targetLong, Trial: l.trial})
--- a/pkg/pool/messages.go
+++ b/pkg/pool/messages.go
@@ -108,6 +108,7 @@
 	Cutoff  int          `msgpack:"c,omitempty"`
 	Used    int          `msgpack:"u,omitempty"` // percent of the pool's slots in use
 	Routes  []RouteStat  `msgpack:"r,omitempty"`
+	Opening int          `msgpack:"w,omitempty"` // milliseconds until a new coordinator lends unreported slots
 }
 
 // Kind returns the message's number.
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -180,9 +180,26 @@
 	c.expireHeap(now, &c.queue.picky)
 }
 
+// waitsUntil returns the end of a wait that counts from a time. Work that could not
+// finish by its deadline waits no longer.
+func (it *item) waitsUntil(from fleet.Time) fleet.Time {
+	until := from.Add(maxQueueWait)
+	if it.work.Deadline > 0 {
+		until = min(until, it.work.Deadline.Add(-it.route.p90()))
+	}
+	return until
+}
+
 func (c *client) expireHeap(now fleet.Time, h *itemHeap) {
 	for len(*h) > 0 && (*h)[0].expiry <= now {
 		it := heap.Pop(h).(*item)
+		if until := it.waitsUntil(c.openAt); it.since < c.openAt && until > now {
+			// A coordinator that has just taken over lends nothing for one lease. That
+			// time is no backlog, so it does not count against the queue's bound.
+			it.expiry = until
+			heap.Push(h, it)
+			continue
+		}
 		c.queue.n--
 		code := result.DeadlineInQueue
 		if now.Sub(it.since) >= maxQueueWait {
