Wait for the whole list before the first record of a local fleet

Cause: the demo's first publish counted 3 of 6 VMs, those listed at that moment. Change: localfleet waits until each VM has read a list that holds all VMs.

--- a/pkg/localfleet/fleet.go
+++ b/pkg/localfleet/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/node"
+	"github.com/fulmarbeam/fulmarbeam/pkg/operator"
 	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
 	"github.com/fulmarbeam/fulmarbeam/pkg/settings"
 	"github.com/fulmarbeam/fulmarbeam/pkg/standin"
@@ -260,3 +261,33 @@
 		}
 	}
 }
+
+// awaitListed waits until every VM has read a list that holds all VMs.
+func (f *Fleet) awaitListed(ctx context.Context) error {
+	for {
+		nodes := f.Nodes()
+		complete := true
+		for _, n := range nodes {
+			rows, err := n.VMs(ctx)
+			complete = complete && err == nil && listedRows(rows) == len(nodes)
+		}
+		if complete {
+			return nil
+		}
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
+			return errors.Annotate(ctx.Err(), "the VM list does not hold all VMs")
+		}
+	}
+}
+
+func listedRows(rows []operator.VMStatus) int {
+	listed := 0
+	for _, r := range rows {
+		if r.Listed == fleet.StateLive.String() {
+			listed++
+		}
+	}
+	return listed
+}
--- a/pkg/localfleet/publish.go
+++ b/pkg/localfleet/publish.go
@@ -22,6 +22,9 @@
 
 // Genesis writes the first record through a VM and waits until that VM has read it.
 func (f *Fleet) Genesis(ctx context.Context, via *node.Node, root document.Root) error {
+	if err := f.awaitListed(ctx); err != nil {
+		return err
+	}
 	genesis, err := configlog.NewGenesis(node.ConfigStream, root, f.cfg.RootKey)
 	if err != nil {
 		return errors.Trace(err)
