Walk only the held key tables on a tick

Change: the keys keep a short sorted list of the tables that they hold. Conclusion: the cost follows the shards of a VM and not those of its region.

--- a/pkg/keys/keys.go
+++ b/pkg/keys/keys.go
@@ -59,6 +59,7 @@
 	slices    int
 
 	tables   map[shard.ID]*table
+	held     []*table                            // the same tables, sorted by slice
 	running  map[fleet.Member]map[*record]*table // running records by caller
 	expiries expiryQueue
 
@@ -196,9 +197,8 @@
 
 // tickHistory asks for opened records before the first key arrives.
 func (k *Keys) tickHistory(now fleet.Time) {
-	for i := range k.slices {
-		t := k.tables[shard.KeyShard(k.cfg.Region, i)]
-		if t == nil || t.history != historyUnsure || t.imported != nil {
+	for _, t := range k.held {
+		if t.history != historyUnsure || t.imported != nil {
 			continue
 		}
 		if role, _ := k.cfg.Authority.Role(t.id); role == shard.RoleOwner {
--- a/pkg/keys/table.go
+++ b/pkg/keys/table.go
@@ -261,7 +261,7 @@
 	k.Dropped(id)
 	t := newTable(id)
 	t.imported = saved
-	k.tables[id] = t
+	k.setTable(t)
 	return nil
 }
 
@@ -285,7 +285,7 @@
 	k.Dropped(id)
 	t := newTable(id)
 	t.lostAt = now
-	k.tables[id] = t
+	k.setTable(t)
 }
 
 // Changed implements shard.Replica.
@@ -310,4 +310,17 @@
 		k.untrack(r)
 	}
 	delete(k.tables, id)
+	k.held = slices.DeleteFunc(k.held, func(t *table) bool { return t.id == id })
+}
+
+// setTable holds the table. The list is sorted by slice, so that runs with one seed
+// are alike, and short: a VM is a member of few of its region's key shards.
+func (k *Keys) setTable(t *table) {
+	k.tables[t.id] = t
+	at, found := slices.BinarySearchFunc(k.held, t.id.Slice, func(h *table, slice int) int { return cmp.Compare(h.id.Slice, slice) })
+	if found {
+		k.held[at] = t
+		return
+	}
+	k.held = slices.Insert(k.held, at, t)
 }
