--- a/pkg/pool/credits.go
+++ b/pkg/pool/credits.go
@@ -112,6 +112,7 @@
 			return cc
 		}
 		c.release(cc)
+		c.forgetSource(cc)
 		c.clients = slices.Delete(c.clients, k, k+1)
 	}
 	cc := &creditClient{member: from, routes: map[uint32]RouteStat{}}
@@ -213,21 +214,24 @@
 	clear(cc.need[:])
 	clear(cc.needLong[:])
 	cc.queued, cc.spare = 0, m.Spare
-	coming := 0
+	coming, comingLong := 0, 0 // credits under way or idle at the client
 	for k := range cc.lends {
 		if l := &cc.lends[k]; !l.trial {
 			coming += max(0, l.target-l.used)
+			comingLong += max(0, min(l.targetLong-l.usedLong, l.target-l.used))
 		}
 	}
 	for _, d := range m.Queue {
-		if d.Class < 0 || d.Class >= classes || d.Count <= 0 {
+		if d.Class < 0 || d.Class >= classes || d.Count <= 0 || d.Long < 0 || d.Long > d.Count {
 			continue
 		}
 		cc.queued += d.Count
-		take := min(coming, d.Count)
-		coming -= take
-		cc.need[d.Class] = d.Count - take
-		cc.needLong[d.Class] = min(d.Long, cc.need[d.Class])
+		long := min(comingLong, d.Long)
+		short := min(coming-long, d.Count-d.Long)
+		coming -= long + short
+		comingLong = min(comingLong-long, coming)
+		cc.need[d.Class] = d.Count - long - short
+		cc.needLong[d.Class] = d.Long - long
 	}
 	cc.spare = max(0, cc.spare-coming)
 }
@@ -308,6 +312,9 @@
 		Pool: c.pool.id, Version: c.version, Epoch: c.epoch, Seq: cc.stateSeq, Echo: cc.seq,
 		Copy: c.role == shard.RoleCopy, Cutoff: int(c.cutoff), Used: c.usedPct,
 	}
+	if left := c.openAt.Sub(now); left > 0 {
+		m.Opening = int(left/time.Millisecond) + 1
+	}
 	for k := range cc.lends {
 		if l := &cc.lends[k]; l.target > 0 {
 			m.Grants = append(m.Grants, Grant{Ref: c.pool.rows[l.row].ref, Total: l.target, Long: l.targetLong, Trial: l.trial})
