keys: keep repeats of a finished key out of the table

Cause: each repeat of a finished key withdraws its attempt, and both members noted the withdrawn attempt for the whole retention. About 4,000 repeats of one answered booking within 10 minutes filled a key shard's table, which then refused every new key with key_table_full (4007).

Change: a member that holds the key's record in a final state does not note the withdrawn attempt, because the record itself turns a late reserve away. In the last minute before the record expires the attempt is noted as before.

Conclusion: repeats no longer use up the table. Repeats of a key that still runs are noted as before; their number is bounded by the route's deadline.

--- a/pkg/keys/keys_test.go
+++ b/pkg/keys/keys_test.go
@@ -175,3 +175,33 @@
 		}
 	}
 }
+
+// Guards against repeats of an answered key that fill the table, so that new keys are
+// refused for the whole retention.
+func TestRepeatsTakeNoPlaceInTheTable(t *testing.T) {
+	s, nodes := warmSim(t, 2)
+	s.reserve(nodes[2], "k", FinishDone, 5*time.Second)
+	s.advance(2 * time.Second)
+	owner, table := ownerTable(s, "k")
+	require.Len(t, table.records, 1)
+	taken := len(table.released)
+	const batch = 64
+	for i := 0; i <= MaxRecords; i += batch {
+		for range batch {
+			s.reserve(nodes[0], "k", FinishDone, 5*time.Second)
+		}
+		s.advance(simTick)
+	}
+	s.advance(time.Second)
+	require.Greater(t, s.verdicts[VerdictReplay], MaxRecords)
+	require.Len(t, table.released, taken)
+
+	// Close to its expiry the record no longer guards against a late reserve.
+	now := s.clock(owner).Add(owner.keys.retention - lateReserve)
+	view, _ := owner.manager.View(table.id)
+	owner.keys.Step(now, nodes[2].self, &Ends{[]End{{
+		View: view, Scope: Scope{Workspace: "w", Service: "pay", Key: "k"}, Attempt: Attempt{nodes[2].self, 9999}, State: FinishNotRun,
+	}}})
+	require.Len(t, table.released, taken+1)
+	require.Empty(t, s.problems)
+}
--- a/pkg/keys/member.go
+++ b/pkg/keys/member.go
@@ -12,6 +12,9 @@
 
 const (
 	openRequestInterval = time.Second // between requests for the same opened record
+	// lateReserve is by how much a Reserve may arrive after the end of its attempt.
+	// Links drop what waited longer than a few seconds.
+	lateReserve = time.Minute
 )
 
 // memberOf returns the table when this process is an active member of exactly this
@@ -148,6 +151,9 @@
 	_, ended := t.released[e.Attempt]
 	switch {
 	case ended:
+	case e.State == FinishNotRun && !own && held != nil && held.state != recordRunning && now.Sub(held.changed) < k.retention-lateReserve:
+		// The record itself turns a late Reserve away. Without this rule each repeat of
+		// an answered key would take a place in the table for the whole retention.
 	case e.State == FinishNotRun:
 		if own {
 			k.remove(t, held)
