node: shut down in time without the log, show ejected servers

Cause: with the log service away a shutdown tried to append its events until drain_timeout, so that each VM that was replaced in an outage took the whole timeout. The operators' API showed each listed server as "live", also one that the fleet had ejected.

Change: the last append gets 3 s. The state of a server is serving, ejected or draining.

--- a/pkg/node/backend_fleet.go
+++ b/pkg/node/backend_fleet.go
@@ -135,7 +135,7 @@
 		service, _ := index.Service(s.Service)
 		row := operator.ServerStatus{
 			ID: s.ID, Service: s.Service, Addr: s.Addr, Region: s.Region, Zone: s.Zone, Listed: s.State.String(),
-			State: known[s.ID].State, Reason: known[s.ID].Cause, Slots: service.Slots, Busy: known[s.ID].Running,
+			State: serverState(known[s.ID]), Reason: known[s.ID].Cause, Slots: service.Slots, Busy: known[s.ID].Running,
 			View: views[s.Pool()],
 		}
 		if row.View == "" || row.View == "none" {
@@ -146,6 +146,20 @@
 	return out, nil
 }
 
+// serverState spells a server's state as operators read it. It is empty where this
+// VM does not know the server's pool.
+func serverState(s pool.ServerStatus) string {
+	switch {
+	case s.State == "":
+		return ""
+	case s.Ejected || s.Phase == "ejected":
+		return "ejected"
+	case s.State != fleet.StateLive.String():
+		return "draining"
+	}
+	return "serving"
+}
+
 // Shards returns the shards known here.
 func (n *Node) Shards(_ context.Context, q operator.ShardsQuery) ([]operator.ShardStatus, error) {
 	n.mu.Lock()
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -13,6 +13,9 @@
 const (
 	// drainPoll is the pause between two looks at the progress of a shutdown.
 	drainPoll = 20 * time.Millisecond
+	// journalGrace bounds the flush of the journal. The log service may be away for
+	// hours; waiting for it would make each shutdown last the whole drain_timeout.
+	journalGrace = 3 * time.Second
 	// eventDrain is the journal's event of a shutdown.
 	eventDrain fleet.EventKind = "vm_draining"
 )
@@ -41,7 +44,9 @@
 	err := n.proxy.Drain(ctx)
 	stopped := n.callers.server.Shutdown(ctx)
 	handed := n.awaitHandover(ctx)
-	if flushErr := n.recorder.Flush(ctx); flushErr != nil {
+	flushCtx, flushCancel := context.WithTimeout(ctx, journalGrace)
+	defer flushCancel()
+	if flushErr := n.recorder.Flush(flushCtx); flushErr != nil {
 		n.log.Error(flushErr, "events of the shutdown are not in the log stream")
 	}
 	_ = n.links.Flush(ctx)
