--- /dev/null
+++ b/cmd/fulmarbench/commands.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/bench"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1 // the run itself failed
+	exitUsage  = 2 // wrong arguments or a scenario with problems
+	exitBroken = 5 // an invariant was broken
+)
+
+// errBroken ends the program with exitBroken.
+var errBroken = errors.ConstError("an invariant was broken")
+
+// errUsage marks errors of the arguments.
+var errUsage = errors.ConstError("usage")
+
+func execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(stderr, "error:", err)
+	switch {
+	case errors.Is(err, errBroken):
+		return exitBroken
+	case errors.Is(err, errUsage):
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "fulmarbench",
+		Short:         "Measure a fleet on loopback against scenarios",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.WithType(err, errUsage) })
+	root.AddCommand(newRun())
+	return root
+}
+
+type runFlags struct {
+	seed   uint64
+	policy string
+	repeat int
+	out    string
+	json   bool
+}
+
+func newRun() *cobra.Command {
+	var f runFlags
+	cmd := &cobra.Command{
+		Use:   "run FILE.jsonc",
+		Short: "Run a scenario and report what callers and servers saw",
+		Long: `Starts the scenario's fleet and simulated servers in this process on loopback, sends
+its load under its faults, and prints a table, or a JSON report with --json. With
+--out it writes the report and plots into a directory.
+
+Exit code 5: a request ran twice, was told not-run but ran, got a wrong answer or was
+cut, or ejections broke a floor. Exit code 2: wrong arguments or scenario.`,
+		Example: "  fulmarbench run scenarios/gray-fail.jsonc\n  fulmarbench run scenarios/tsehay.jsonc --policy all --out out",
+		Args: func(cmd *cobra.Command, args []string) error {
+			return errors.WithType(cobra.ExactArgs(1)(cmd, args), errUsage)
+		},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return run(cmd.Context(), args[0], f, cmd.OutOrStdout(), cmd.ErrOrStderr())
+		},
+	}
+	flags := cmd.Flags()
+	flags.Uint64Var(&f.seed, "seed", 0, "seed of arrivals and work times; 0 takes the scenario's")
+	flags.StringVar(&f.policy, "policy", bench.ProductPolicy, "one of "+strings.Join(bench.Policies, ", ")+", or all")
+	flags.IntVar(&f.repeat, "repeat", 1, "runs of each policy, on seeds that follow one another")
+	flags.StringVar(&f.out, "out", "", "directory for the JSON report and plots")
+	flags.BoolVar(&f.json, "json", false, "print the JSON report instead of the table")
+	return cmd
+}
+
+func run(ctx context.Context, file string, f runFlags, stdout, stderr io.Writer) error {
+	policies := []string{f.policy}
+	if f.policy == "all" {
+		policies = bench.Policies
+	} else if !slices.Contains(bench.Policies, f.policy) {
+		return errors.WithType(errors.Errorf("policy %q is none of %s, all", f.policy, strings.Join(bench.Policies, ", ")), errUsage)
+	}
+	if f.repeat < 1 || f.repeat > 100 {
+		return errors.WithType(errors.New("--repeat must be 1 to 100"), errUsage)
+	}
+	s, err := bench.Load(file)
+	if err != nil {
+		return errors.WithType(err, errUsage)
+	}
+	report, err := bench.Run(ctx, s, bench.Options{
+		Seed: f.seed, Policies: policies, Repeat: f.repeat,
+		Progress: func(text string) { fmt.Fprintf(stderr, "%s: %s\n", s.Name, text) },
+	})
+	if err != nil {
+		return err
+	}
+	if err := write(report, f, stdout); err != nil {
+		return err
+	}
+	return broken(report)
+}
+
+func write(report *bench.Report, f runFlags, stdout io.Writer) error {
+	data, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	data = append(data, '\n')
+	if f.out != "" {
+		if err := os.MkdirAll(f.out, 0o755); err != nil {
+			return errors.Trace(err)
+		}
+		if err := os.WriteFile(filepath.Join(f.out, report.Scenario+".json"), data, 0o644); err != nil {
+			return errors.Trace(err)
+		}
+		if err := report.Plot(f.out); err != nil {
+			return err
+		}
+	}
+	if f.json {
+		_, err = stdout.Write(data)
+		return errors.Trace(err)
+	}
+	return report.Write(stdout)
+}
+
+// broken returns errBroken when a run broke an invariant.
+func broken(report *bench.Report) error {
+	var lines []string
+	for name, m := range report.Policies {
+		for _, one := range append([]*bench.Measures{m}, report.Repeats[name]...) {
+			if list := one.Broken(); len(list) > 0 {
+				lines = append(lines, fmt.Sprintf("%s: %s", name, strings.Join(list, " ")))
+			}
+		}
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	slices.Sort(lines)
+	return errors.Annotate(errBroken, strings.Join(lines, "; "))
+}
--- /dev/null
+++ b/pkg/bench/bound.go
@@ -0,0 +1,143 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+)
+
+// bucketLength is the time resolution of the fluid bound.
+const bucketLength = time.Second
+
+// bound returns the weight that a scheduler with full knowledge could have served of
+// the requests that arrive within span, see the package comment.
+func (s *Scenario) bound(plan []request, span Span) float64 {
+	served := 0.0
+	for name := range s.Services {
+		served += s.boundOf(name, plan, span)
+	}
+	return served
+}
+
+func (s *Scenario) boundOf(name fleet.Service, plan []request, span Span) float64 {
+	free := s.capacityBuckets(name)
+	var list []request
+	for _, r := range plan {
+		route := s.Routes[r.route]
+		if route.Service == name && !r.fails && r.work <= time.Duration(route.Deadline) {
+			list = append(list, r)
+		}
+	}
+	density := func(r request) float64 { return s.Routes[r.route].Weight / r.work.Seconds() }
+	slices.SortStableFunc(list, func(a, b request) int {
+		switch x, y := density(a), density(b); {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	served := 0.0
+	for _, r := range list {
+		route := s.Routes[r.route]
+		need := r.work.Seconds()
+		first := int(r.at / bucketLength)
+		last := int((r.at + time.Duration(route.Deadline)) / bucketLength)
+		for b := first; b <= last && b < len(free) && need > 0; b++ {
+			take := min(need, free[b])
+			free[b] -= take
+			need -= take
+		}
+		if span.holds(r.at) {
+			served += route.Weight * (1 - need/r.work.Seconds())
+		}
+	}
+	return served
+}
+
+// capacityBuckets returns a service's slot seconds in each bucket, faults of servers
+// included. Work that arrives at the end of the run may still be done within its
+// deadline after it.
+func (s *Scenario) capacityBuckets(name fleet.Service) []float64 {
+	const stepsPerBucket = 10
+	longest := Duration(0)
+	for _, r := range s.Routes {
+		longest = max(longest, r.Deadline)
+	}
+	buckets := int((time.Duration(s.Duration)+time.Duration(longest))/bucketLength) + 2
+	out := make([]float64, buckets)
+	p := s.Services[name]
+	for b := range out {
+		for k := range stepsPerBucket {
+			t := time.Duration(b)*bucketLength + time.Duration(k)*bucketLength/stepsPerBucket
+			for z, n := range p.Servers {
+				for i := 1; i <= n; i++ {
+					out[b] += s.capacityAt(name, serverID(name, z, i), t) * float64(p.Slots) * bucketLength.Seconds() / stepsPerBucket
+				}
+			}
+			out[b] += s.startedAt(name, t) * float64(p.Slots) * bucketLength.Seconds() / stepsPerBucket
+		}
+	}
+	return out
+}
+
+// capacityAt returns the share of a server's slots that does useful work at t.
+func (s *Scenario) capacityAt(name fleet.Service, id fleet.ServerID, t time.Duration) float64 {
+	share := 1.0
+	for _, f := range s.Faults {
+		span := f.span(time.Duration(s.Duration))
+		if !contains(f.Servers, id) && (f.Service != name || f.Kind == FaultStart) || t < time.Duration(span.Start) {
+			continue
+		}
+		switch f.Kind {
+		case FaultLeave:
+			return 0
+		case FaultCold:
+			share *= s.Services[name].Cold.share(t - time.Duration(span.Start))
+		case FaultGray:
+			if f.End == 0 || t < time.Duration(f.End) {
+				share *= f.Mode.share(t - time.Duration(span.Start))
+			}
+		}
+	}
+	return share
+}
+
+// startedAt returns the capacity of servers that the scenario starts, in servers.
+func (s *Scenario) startedAt(name fleet.Service, t time.Duration) float64 {
+	out := 0.0
+	for _, f := range s.Faults {
+		if f.Kind == FaultStart && f.Service == name && t >= time.Duration(f.Start) {
+			out += float64(f.Count) * s.Services[name].Cold.share(t-time.Duration(f.Start))
+		}
+	}
+	return out
+}
+
+// share returns the work rate of a server of that age, relative to a warm one.
+func (c *Cold) share(age time.Duration) float64 {
+	if c == nil || age >= time.Duration(c.Lasts) {
+		return 1
+	}
+	return 1 / (1 + (c.Factor-1)*(1-float64(age)/float64(c.Lasts)))
+}
+
+// share returns the useful work rate of a gray server, relative to a healthy one.
+func (g *GrayMode) share(age time.Duration) float64 {
+	if g == nil || g.Period > 0 && age%time.Duration(g.Period) >= time.Duration(g.Period)/2 {
+		return 1
+	}
+	out := 1.0
+	if g.Fault != "" {
+		out = 0
+		if g.FailShare > 0 {
+			out = 1 - g.FailShare
+		}
+	}
+	if g.Slower > 0 {
+		out /= g.Slower
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/bench/plan.go
@@ -0,0 +1,178 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+)
+
+// request is one planned request.
+type request struct {
+	n         int
+	route     string
+	at        time.Duration // intended start
+	work      time.Duration
+	straggler bool
+	fails     bool   // the route is answered 500 everywhere
+	pick      uint64 // chooses the VM among those that take callers
+}
+
+// id is unique within a run.
+func (r request) id() string { return fmt.Sprintf("req-%07d", r.n) }
+
+// plan draws all requests of a run from the seed.
+func (s *Scenario) plan(seed uint64) []request {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	names, cumulated := s.routeTable()
+	var out []request
+	end := time.Duration(s.Duration)
+	top := s.peakRate()
+	if top <= 0 {
+		return nil
+	}
+	// Thinning of a Poisson process at the highest rate gives the wanted rate at
+	// each instant.
+	for t := time.Duration(0); ; {
+		t += time.Duration(rng.ExpFloat64() / top * float64(time.Second))
+		if t >= end {
+			return out
+		}
+		if rng.Float64()*top > s.rateAt(t) {
+			continue
+		}
+		name := names[min(len(names)-1, upper(cumulated, rng.Float64()*cumulated[len(cumulated)-1]))]
+		r := request{n: len(out), route: name, at: t, pick: rng.Uint64()}
+		r.work, r.straggler = s.Routes[name].Work.draw(rng)
+		s.routeFaults(&r)
+		out = append(out, r)
+	}
+}
+
+func (s *Scenario) routeFaults(r *request) {
+	for _, f := range s.Faults {
+		if !f.span(time.Duration(s.Duration)).holds(r.at) || !slices.Contains(f.Routes, r.route) {
+			continue
+		}
+		switch f.Kind {
+		case FaultRouteSlow:
+			r.work = time.Duration(float64(r.work) * f.Factor)
+		case FaultRouteFail:
+			r.fails = true
+		}
+	}
+}
+
+func upper(cumulated []float64, x float64) int {
+	i, _ := slices.BinarySearch(cumulated, x)
+	return i
+}
+
+// routeTable returns the routes' names and cumulated shares, sorted by name.
+func (s *Scenario) routeTable() (names []string, cumulated []float64) {
+	for name, r := range s.Routes {
+		if r.Share > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	total := 0.0
+	for _, name := range names {
+		total += s.Routes[name].Share
+		cumulated = append(cumulated, total)
+	}
+	return names, cumulated
+}
+
+func (w Work) draw(rng *rand.Rand) (time.Duration, bool) {
+	d := float64(w.Median) * math.Exp(w.Sigma*rng.NormFloat64())
+	straggler := rng.Float64() < w.StragglerShare
+	if straggler {
+		d *= w.StragglerFactor
+	}
+	return time.Duration(d), straggler
+}
+
+// rateAt interpolates the arrival curve, in requests per second.
+func (s *Scenario) rateAt(t time.Duration) float64 {
+	points := s.Arrivals
+	last := points[len(points)-1]
+	if t >= time.Duration(last.At) {
+		return s.rate(last)
+	}
+	for i := range points {
+		if t >= time.Duration(points[i].At) {
+			continue
+		}
+		if i == 0 {
+			return s.rate(points[0])
+		}
+		a, b := points[i-1], points[i]
+		share := float64(t-time.Duration(a.At)) / float64(b.At-a.At)
+		return s.rate(a) + share*(s.rate(b)-s.rate(a))
+	}
+	return s.rate(last)
+}
+
+func (s *Scenario) rate(p Point) float64 {
+	if p.Load > 0 {
+		return p.Load * s.capacity()
+	}
+	return p.Rate
+}
+
+func (s *Scenario) peakRate() float64 {
+	top := 0.0
+	for _, p := range s.Arrivals {
+		top = max(top, s.rate(p))
+	}
+	return top
+}
+
+// capacity returns the arrival rate in requests per second at which the scarcest
+// service's slots are all in use.
+func (s *Scenario) capacity() float64 {
+	total := 0.0
+	busy := map[fleet.Service]float64{} // slot seconds for each request
+	for _, r := range s.Routes {
+		total += r.Share
+	}
+	for _, r := range s.Routes {
+		busy[r.Service] += r.Share / total * r.Work.mean().Seconds()
+	}
+	least := math.Inf(1)
+	for name, p := range s.Services {
+		if busy[name] > 0 {
+			least = min(least, float64(p.total()*p.Slots)/busy[name])
+		}
+	}
+	return least
+}
+
+// withoutLong returns the scenario for the run beside: no long routes, no
+// stragglers.
+func (s *Scenario) withoutLong() *Scenario {
+	out := *s
+	out.Routes = map[string]Route{}
+	kept, all := 0.0, 0.0
+	for name, r := range s.Routes {
+		all += r.Share
+		if r.Long {
+			r.Share = 0
+		}
+		r.Work.StragglerShare = 0
+		kept += r.Share
+		out.Routes[name] = r
+	}
+	if s.Beside == BesideArrivals {
+		out.Arrivals = nil
+		for _, p := range s.Arrivals {
+			out.Arrivals = append(out.Arrivals, Point{At: p.At, Rate: s.rate(p) * kept / all})
+		}
+	}
+	out.Beside = BesideNone
+	return &out
+}
--- a/pkg/localfleet/fleet.go
+++ b/pkg/localfleet/fleet.go
@@ -58,6 +58,8 @@
 	// LinkAddress and ServerAddress put proxies on paths; nil keeps the addresses.
 	LinkAddress   func(from VMSpec, to fleet.VM) string
 	ServerAddress func(from VMSpec, to fleet.Server) string
+	// Observer returns the observer of a VM's slots; nil for none.
+	Observer func(VMSpec) node.Observer
 }
 
 // Fleet is a running fleet.
@@ -157,6 +159,9 @@
 	if f.cfg.ServerAddress != nil {
 		cfg.ServerAddress = func(to fleet.Server) string { return f.cfg.ServerAddress(spec, to) }
 	}
+	if f.cfg.Observer != nil {
+		cfg.Observer = f.cfg.Observer(spec)
+	}
 	return cfg
 }
 
--- a/pkg/node/engine.go
+++ b/pkg/node/engine.go
@@ -54,6 +54,14 @@
 
 // Acquire waits for a slot. It returns the code CallerGone when ctx ends first.
 func (n *Node) Acquire(ctx context.Context, work pool.Work) pool.Decision {
+	d := n.acquire(ctx, work)
+	if d.Code == result.OK && n.cfg.Observer != nil {
+		n.cfg.Observer.Acquired(work, d)
+	}
+	return d
+}
+
+func (n *Node) acquire(ctx context.Context, work pool.Work) pool.Decision {
 	waiter := make(chan pool.Decision, 1)
 	var decision pool.Decision
 	var decided bool
@@ -80,7 +88,7 @@
 	select {
 	case d := <-waiter: // decided before it could be withdrawn
 		if d.Code == result.OK {
-			n.Release(work.ID, pool.End{State: pool.EndAbandoned})
+			n.release(work.ID, pool.End{State: pool.EndAbandoned})
 		}
 	default:
 	}
@@ -96,6 +104,13 @@
 
 // Release reports how an attempt ended and gives its slot back.
 func (n *Node) Release(id pool.WorkID, end pool.End) {
+	if n.cfg.Observer != nil {
+		n.cfg.Observer.Released(id, end)
+	}
+	n.release(id, end)
+}
+
+func (n *Node) release(id pool.WorkID, end pool.End) {
 	n.lockedDo(func(now fleet.Time) { n.core.End(now, id, end) })
 }
 
@@ -145,3 +160,10 @@
 	n.recorder.Record(event)
 	n.log.V(1).Info("event", "kind", event.Kind, "service", event.Service, "server", event.Server, "reason", event.Reason)
 }
+
+// PoolStatus returns what this VM knows of each pool and its servers.
+func (n *Node) PoolStatus() []pool.PoolStatus {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.PoolStatus()
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -64,6 +64,17 @@
 	// a test can put a proxy on a path. Nil keeps them.
 	LinkAddress   func(fleet.VM) string
 	ServerAddress func(fleet.Server) string
+	// Observer is told of slots taken and given back; nil for none.
+	Observer Observer
+}
+
+// Observer sees how slots are used, for measurements. Its methods are called
+// concurrently and must not block.
+type Observer interface {
+	// Acquired is called when work got a server.
+	Acquired(work pool.Work, decision pool.Decision)
+	// Released is called when that work ended.
+	Released(id pool.WorkID, end pool.End)
 }
 
 // Node is a running entry VM.
--- a/pkg/pool/status.go
+++ b/pkg/pool/status.go
@@ -62,7 +62,7 @@
 
 func (pl *pool) serverStatus(now fleet.Time, r *row) ServerStatus {
 	s := ServerStatus{
-		Server: r.server.ID, State: r.server.State.String(), Ejected: now < r.cl.ejected,
+		Server: r.server.ID, State: r.server.State.String(), Ejected: now < max(r.cl.ejected, r.cl.localEjected),
 		Held: r.cl.granted, Running: r.cl.used,
 	}
 	if now < r.drainEnd {
