--- a/cmd/fulmarbench/commands.go
+++ b/cmd/fulmarbench/commands.go
@@ -48,6 +48,14 @@
 	return exitFailed
 }
 
+// usage marks an error of the arguments; nil stays nil.
+func usage(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.WithType(err, errUsage)
+}
+
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "fulmarbench",
@@ -57,8 +65,8 @@
 		Args:          cobra.NoArgs,
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.WithType(err, errUsage) })
-	root.AddCommand(newRun())
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
+	root.AddCommand(newRun(), newSlopes())
 	return root
 }
 
@@ -83,7 +91,7 @@
 cut, or ejections broke a floor. Exit code 2: wrong arguments or scenario.`,
 		Example: "  fulmarbench run scenarios/gray-fail.jsonc\n  fulmarbench run scenarios/tsehay.jsonc --policy all --out out",
 		Args: func(cmd *cobra.Command, args []string) error {
-			return errors.WithType(cobra.ExactArgs(1)(cmd, args), errUsage)
+			return usage(cobra.ExactArgs(1)(cmd, args))
 		},
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return run(cmd.Context(), args[0], f, cmd.OutOrStdout(), cmd.ErrOrStderr())
@@ -103,14 +111,14 @@
 	if f.policy == "all" {
 		policies = bench.Policies
 	} else if !slices.Contains(bench.Policies, f.policy) {
-		return errors.WithType(errors.Errorf("policy %q is none of %s, all", f.policy, strings.Join(bench.Policies, ", ")), errUsage)
+		return usage(errors.Errorf("policy %q is none of %s, all", f.policy, strings.Join(bench.Policies, ", ")))
 	}
 	if f.repeat < 1 || f.repeat > 100 {
-		return errors.WithType(errors.New("--repeat must be 1 to 100"), errUsage)
+		return usage(errors.New("--repeat must be 1 to 100"))
 	}
 	s, err := bench.Load(file)
 	if err != nil {
-		return errors.WithType(err, errUsage)
+		return usage(err)
 	}
 	report, err := bench.Run(ctx, s, bench.Options{
 		Seed: f.seed, Policies: policies, Repeat: f.repeat,
--- a/pkg/bench/doc.go
+++ b/pkg/bench/doc.go
@@ -46,6 +46,7 @@
 //     requests whose server is in the entry VM's region.
 //   - slot_excess is the most requests that all VMs together had under way at one
 //     server, by their own accounting, beyond its slots.
-//   - shed_ratio is sheds at servers over runs and sheds; retry_ratio is repeats sent to
-//     servers over first tries.
+//   - shed_ratio is sheds at servers over runs and sheds. retry_ratio is repeats sent to
+//     servers over first tries, during the first fault of a whole service, or after the
+//     warm-up when the scenario has none.
 package bench
--- a/pkg/bench/measures.go
+++ b/pkg/bench/measures.go
@@ -49,7 +49,10 @@
 	e.waits(m)
 	e.slots(m)
 	e.latency(m)
-	m.RegionBytes, m.ControlBytesPerVMS = &e.traffic.regionBytes, &e.traffic.controlPerVM
+	m.ControlBytesPerVMS = &e.traffic.controlPerVM
+	if len(e.s.Topology.Regions) > 1 {
+		m.RegionBytes = &e.traffic.regionBytes
+	}
 	m.Timeline = e.timeline()
 	e.recovery(m)
 	return m
@@ -347,13 +350,26 @@
 	if started+shed > 0 {
 		m.ShedRatio = ptr(float64(shed) / float64(started+shed))
 	}
-	if e.watch.first > 0 {
-		m.RetryRatio = ptr(float64(e.watch.repeats) / float64(e.watch.first))
-		m.ExtraHopRatio = ptr(float64(e.watch.remote) / float64(e.watch.first+e.watch.repeats))
+	if a := e.watch.within(e.outage()); a.first > 0 {
+		m.RetryRatio = ptr(float64(a.repeats) / float64(a.first))
+	}
+	if a := e.watch.within(Span{e.s.Warmup, e.s.Duration}); a.first > 0 && len(e.s.Topology.Regions) > 1 {
+		m.ExtraHopRatio = ptr(float64(a.remote) / float64(a.first+a.repeats))
 	}
 	m.QueuedP50MS, m.QueuedP99MS, m.QueuedP999MS = quantiles(e.watch.queued)
 }
 
+// outage returns the time of the first fault of a whole service, or the run after the
+// warm-up.
+func (e *evidence) outage() Span {
+	for _, f := range e.s.Faults {
+		if f.Kind == FaultGray && f.Service != "" {
+			return f.span(time.Duration(e.s.Duration))
+		}
+	}
+	return Span{e.s.Warmup, e.s.Duration}
+}
+
 func (e *evidence) latency(m *Measures) {
 	all, lag := newHistogram(), newHistogram()
 	trip := 2 * time.Duration(e.s.Topology.ToClients)
--- a/pkg/bench/report.go
+++ b/pkg/bench/report.go
@@ -17,6 +17,7 @@
 	Share    string               `json:"share,omitempty"`
 	Seed     uint64               `json:"seed"`
 	Size     Size                 `json:"size"`
+	CPUs     int                  `json:"cpus"`
 	Policies map[string]*Measures `json:"policies"`
 	// Repeats holds the further runs of each policy; Policies holds the first.
 	Repeats map[string][]*Measures `json:"repeats,omitempty"`
@@ -75,6 +76,8 @@
 	Probes               int      `json:"probes"`
 	ProcessorShare       *float64 `json:"processor_cores"` // of the whole process: VMs, servers, proxies and callers
 
+	LoadAverage *float64 `json:"load_average"` // of the machine over the last minute of the run
+
 	Outcomes       map[outcome]int                    `json:"outcomes"`
 	Services       map[fleet.Service]*ServiceMeasures `json:"services"`
 	Findings       []Finding                          `json:"findings,omitempty"`
@@ -181,6 +184,8 @@
 	{"added_latency_p50_ms", func(m *Measures) *float64 { return m.AddedP50MS }},
 	{"added_latency_p99_ms", func(m *Measures) *float64 { return m.AddedP99MS }},
 	{"added_latency_keyed_p99_ms", func(m *Measures) *float64 { return m.AddedKeyedP99MS }},
+	{"overhead_p50_ms", func(m *Measures) *float64 { return m.WaitP50MS }},
+	{"direct_overhead_p50_ms", func(m *Measures) *float64 { return m.DirectP50MS }},
 	{"direct_overhead_p99_ms", func(m *Measures) *float64 { return m.DirectP99MS }},
 	{"latency_p50_ms", func(m *Measures) *float64 { return m.LatencyP50MS }},
 	{"latency_p99_ms", func(m *Measures) *float64 { return m.LatencyP99MS }},
@@ -190,6 +195,7 @@
 	{"control_bytes_per_vm_s", func(m *Measures) *float64 { return m.ControlBytesPerVMS }},
 	{"extra_hop_ratio", func(m *Measures) *float64 { return m.ExtraHopRatio }},
 	{"probes", whole(func(m *Measures) int { return m.Probes })},
+	{"load_average", func(m *Measures) *float64 { return m.LoadAverage }},
 	{"processor_cores", func(m *Measures) *float64 { return m.ProcessorShare }},
 }
 
--- a/pkg/bench/run.go
+++ b/pkg/bench/run.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"time"
@@ -35,7 +36,7 @@
 	if o.Progress == nil {
 		o.Progress = func(string) {}
 	}
-	r := &Report{Scenario: s.Name, About: s.About, Share: s.Share, Seed: seed, Policies: map[string]*Measures{}}
+	r := &Report{Scenario: s.Name, About: s.About, Share: s.Share, Seed: seed, CPUs: runtime.NumCPU(), Policies: map[string]*Measures{}}
 	for _, reg := range s.Topology.Regions {
 		r.Size.VMs += reg.VMsPerZone * len(reg.Zones)
 	}
@@ -101,7 +102,7 @@
 	}
 	e.policy = policy
 	m := e.measure()
-	m.ProcessorShare = ptr(e.traffic.cores)
+	m.ProcessorShare, m.LoadAverage = ptr(e.traffic.cores), loadAverage()
 	return m, nil
 }
 
@@ -113,6 +114,7 @@
 	var side sync.WaitGroup
 	before, processor := w.readTraffic(), processorTime()
 	begin := time.Now()
+	w.watch.start(begin)
 	e := &evidence{s: w.s, begin: begin, plan: plan, watch: w.watch, vms: len(w.specs)}
 	side.Add(2)
 	go func() { defer side.Done(); w.watch.run(watching) }()
@@ -236,6 +238,16 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// loadAverage returns the machine's load average over a minute, or nil.
+func loadAverage() *float64 {
+	const one = 1 << 16 // the kernel's fixed point
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return nil
+	}
+	return ptr(float64(info.Loads[0]) / one)
+}
+
 // traffic is what links and paths carried.
 type traffic struct {
 	control      float64 // bytes sent over all links
--- /dev/null
+++ b/pkg/bench/slopes_cluster.go
@@ -0,0 +1,281 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/configlog"
+	"github.com/fulmarbeam/fulmarbeam/pkg/core"
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/keys"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+	"github.com/fulmarbeam/fulmarbeam/pkg/standin"
+	"github.com/fulmarbeam/fulmarbeam/pkg/wire"
+)
+
+const (
+	clusterTick   = 10 * time.Millisecond
+	clusterRegion = fleet.Region("north")
+	// clusterStart is the simulated time in which shards find their members.
+	clusterStart = 8 * time.Second
+	// clusterWorkspace is the only workspace of the document.
+	clusterWorkspace = "workspace-0000000"
+	clusterDeadline  = 2 * time.Second
+	clusterAnswer    = 200 // bytes of an answer that is kept with its key
+)
+
+// clusterSize describes a region of simulated VMs.
+type clusterSize struct {
+	vms, services, servers int // servers of each service
+	slices                 int // key shards
+	rate                   int // requests per second over all VMs
+	keyed                  int // of these, requests with an idempotency key
+}
+
+// cluster runs core.Node of each VM on one simulated clock. A message arrives at the
+// next tick after it was encoded and decoded, as over a link.
+type cluster struct {
+	size  clusterSize
+	clock time.Time
+	now   fleet.Time
+	log   *standin.Log
+	nodes []*clusterNode
+	byID  map[fleet.VMID]*clusterNode
+	rng   *rand.Rand
+	work  pool.WorkID
+	due   float64 // requests to submit
+	sent  int
+
+	reserve keys.ReserveID
+	waiting map[keys.ReserveID]int // service of the request that waits for its key
+	held    map[pool.WorkID]keys.ReserveID
+
+	frames, bytes int
+	bytesByKind   map[fleet.Kind]int
+	started       int
+	running       map[fleet.Time][]runningWork
+}
+
+type clusterNode struct {
+	self   fleet.Member
+	core   *core.Node
+	inbox  []clusterMessage
+	read   *configlog.Read
+	readBy fleet.Time
+}
+
+type clusterMessage struct {
+	from  fleet.Member
+	frame []byte
+}
+
+type runningWork struct {
+	node *clusterNode
+	id   pool.WorkID
+}
+
+func newCluster(size clusterSize) (*cluster, error) {
+	c := &cluster{
+		size: size, clock: time.Unix(0, 0), now: fleet.Time(time.Hour), byID: map[fleet.VMID]*clusterNode{},
+		rng: rand.New(rand.NewPCG(1, 5)), bytesByKind: map[fleet.Kind]int{}, running: map[fleet.Time][]runningWork{},
+		waiting: map[keys.ReserveID]int{}, held: map[pool.WorkID]keys.ReserveID{},
+	}
+	c.log = standin.NewLog(standin.LogControl{}, func() time.Time { return c.clock })
+	w, err := newWriter([]fleet.Region{clusterRegion}, size.slices)
+	if err != nil {
+		return nil, err
+	}
+	if err := w.document(stateSize{size.services, size.services, 1}, clusterRegion, size.servers); err != nil {
+		return nil, err
+	}
+	for _, data := range w.records {
+		if _, err := c.log.Append(context.Background(), slopeStream, data); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	for _, vm := range c.directory().VMs {
+		self := fleet.Member{VM: vm.ID, Incarnation: 1}
+		n := &clusterNode{self: self, core: core.New(core.Config{
+			Self: self, Region: vm.Region, Zone: vm.Zone, Stream: slopeStream, RootKey: w.state.RootKey(), Seed: uint64(len(c.nodes)),
+			ListSettle: 300 * time.Millisecond,
+		})}
+		c.nodes = append(c.nodes, n)
+		c.byID[vm.ID] = n
+		n.core.SetDirectory(c.now, c.directory()) // each VM holds its own
+	}
+	c.run(clusterStart)
+	for _, n := range c.nodes {
+		if n.core.Index() == nil {
+			return nil, errors.Errorf("%s has no document after %s", n.self.VM, clusterStart)
+		}
+		for _, id := range n.core.WantedShards() {
+			if _, known := n.core.Shards().View(id); !known {
+				return nil, errors.Errorf("%s knows no owner of %s after %s", n.self.VM, id, clusterStart)
+			}
+		}
+	}
+	return c, nil
+}
+
+func (c *cluster) directory() *fleet.Directory {
+	var vms []fleet.VM
+	for i := range c.size.vms {
+		id := fleet.VMID(fmt.Sprintf("vm-%03d", i))
+		vms = append(vms, fleet.VM{ID: id, Addr: string(id), Region: clusterRegion, Zone: clusterZone(i), State: fleet.StateLive})
+	}
+	var servers []fleet.Server
+	for k := range c.size.services {
+		for i := range c.size.servers {
+			servers = append(servers, fleet.Server{
+				ID: fleet.ServerID(fmt.Sprintf("%s-%04d", serviceName(k), i)), Service: serviceName(k), Addr: "127.0.0.1:1",
+				Region: clusterRegion, Zone: clusterZone(i), State: fleet.StateLive,
+			})
+		}
+	}
+	return fleet.NewDirectory(1, vms, servers)
+}
+
+func clusterZone(i int) fleet.Zone { return fleet.Zone(fmt.Sprintf("north-%d", i%2+1)) }
+
+// run advances the clock.
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now < end; {
+		c.now, c.clock = c.now.Add(clusterTick), c.clock.Add(clusterTick)
+		for _, n := range c.nodes {
+			c.step(n)
+		}
+		c.load()
+	}
+}
+
+func (c *cluster) step(n *clusterNode) {
+	inbox := n.inbox
+	n.inbox = nil
+	for _, m := range inbox {
+		if message, err := wire.Decode(m.frame); err == nil {
+			n.core.Step(c.now, m.from, message)
+		}
+	}
+	c.store(n)
+	n.core.Tick(c.now)
+	c.finish(n)
+}
+
+// store does the reads and appends that the node asks for.
+func (c *cluster) store(n *clusterNode) {
+	ctx := context.Background()
+	config := n.core.Config()
+	if n.read == nil {
+		if read, wanted := config.WantRead(c.now); wanted {
+			n.read, n.readBy = &read, c.now.Add(read.Wait)
+		}
+	}
+	if n.read != nil {
+		batch, err := c.log.Read(ctx, slopeStream, n.read.From, n.read.MaxBytes, false)
+		if err == nil && (len(batch.Records) > 0 || c.now >= n.readBy) {
+			n.read = nil
+			config.Records(c.now, batch)
+			n.core.Settle(c.now)
+		}
+	}
+	if job, wanted := config.WantAppend(c.now); wanted {
+		if offset, err := c.log.Append(ctx, slopeStream, job.Data); err == nil {
+			config.Appended(c.now, job.ID, offset)
+			n.core.Settle(c.now)
+		}
+	}
+}
+
+// finish sends the node's messages and starts the work that got a slot.
+func (c *cluster) finish(n *clusterNode) {
+	for _, e := range n.core.Outbox() {
+		frame, err := wire.Encode(e.Message)
+		to := c.byID[e.To]
+		if err != nil || to == nil {
+			continue
+		}
+		c.frames, c.bytes = c.frames+1, c.bytes+len(frame)
+		c.bytesByKind[e.Message.Kind()] += len(frame)
+		to.inbox = append(to.inbox, clusterMessage{n.self, frame})
+	}
+	for _, d := range n.core.WorkDecisions() {
+		c.begin(n, d)
+	}
+	for _, d := range n.core.ReserveDecisions() {
+		service := c.waiting[d.Reserve]
+		delete(c.waiting, d.Reserve)
+		if d.Verdict == keys.VerdictRun {
+			c.submit(n, service, d.Reserve)
+		}
+	}
+	n.core.Events()
+}
+
+func (c *cluster) begin(n *clusterNode, d pool.Decision) {
+	if d.Code != result.OK {
+		c.finishKey(n, d.Work, keys.FinishNotRun)
+		return
+	}
+	const shortest, spread = 20 * time.Millisecond, 40 // milliseconds
+	c.started++
+	ends := c.now.Add((shortest + time.Duration(c.rng.IntN(spread))*time.Millisecond).Round(clusterTick))
+	c.running[ends] = append(c.running[ends], runningWork{n, d.Work})
+}
+
+// load ends due work and submits new work at random VMs.
+func (c *cluster) load() {
+	for _, r := range c.running[c.now] {
+		r.node.core.End(c.now, r.id, pool.End{State: pool.EndOK, Duration: 40 * time.Millisecond})
+		c.finishKey(r.node, r.id, keys.FinishDone)
+		c.finish(r.node)
+	}
+	delete(c.running, c.now)
+	for c.due += float64(c.size.rate) * clusterTick.Seconds(); c.due >= 1; c.due-- {
+		n := c.nodes[c.rng.IntN(len(c.nodes))]
+		k := c.rng.IntN(c.size.services)
+		if c.sent++; c.sent%c.size.rate >= c.size.keyed {
+			c.submit(n, k, 0)
+			c.finish(n)
+			continue
+		}
+		c.reserve++
+		c.waiting[c.reserve] = k
+		scope := keys.Scope{Workspace: clusterWorkspace, Service: serviceName(k), Key: fmt.Sprintf("key-%d", c.reserve)}
+		n.core.Reserve(c.now, c.reserve, clusterWorkspace, scope, uint64(c.reserve), c.now.Add(clusterDeadline))
+		c.finish(n)
+	}
+}
+
+func (c *cluster) submit(n *clusterNode, service int, reserve keys.ReserveID) {
+	c.work++
+	if reserve != 0 {
+		c.held[c.work] = reserve
+	}
+	d, decided := n.core.Submit(c.now, pool.Work{
+		ID: c.work, Service: serviceName(service), Route: fmt.Sprintf("route-%06d", service), Length: document.LengthLearned, Weight: 1,
+		Deadline: c.now.Add(clusterDeadline), Idempotent: reserve == 0,
+	})
+	if decided {
+		c.begin(n, d)
+	}
+}
+
+// finishKey ends the reservation of a piece of work, if it has one.
+func (c *cluster) finishKey(n *clusterNode, id pool.WorkID, state keys.FinishState) {
+	reserve, ok := c.held[id]
+	if !ok {
+		return
+	}
+	delete(c.held, id)
+	var answer *keys.Answer
+	if state == keys.FinishDone {
+		answer = &keys.Answer{Status: 200, Body: make([]byte, clusterAnswer)}
+	}
+	n.core.Finish(c.now, reserve, state, answer)
+}
--- /dev/null
+++ b/pkg/bench/slopes_node.go
@@ -0,0 +1,149 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+	"github.com/fulmarbeam/fulmarbeam/pkg/wire"
+)
+
+// nodeMeasured is the simulated time over which a cluster is measured.
+const nodeMeasured = 10 * time.Second
+
+// nodeCost is what one VM of a cluster costs.
+type nodeCost struct {
+	heap      float64 // bytes
+	processor float64 // share of a core, in percent
+	sent      float64 // bytes per second
+	frames    float64 // per second
+	perWork   float64 // processor time of a request, ns; NaN without load
+}
+
+func measureCluster(size clusterSize) (nodeCost, error) {
+	c, memory, err := heapOf(func() (*cluster, error) { return newCluster(size) })
+	if err != nil {
+		return nodeCost{}, err
+	}
+	c.run(time.Second) // the load gets going
+	frames, bytes, started := c.frames, c.bytes, c.started
+	begin := processorTime()
+	c.run(nodeMeasured)
+	took := processorTime() - begin
+	vms, seconds := float64(size.vms), nodeMeasured.Seconds()
+	out := nodeCost{
+		heap:      memory / vms,
+		processor: 100 * took.Seconds() / seconds / vms,
+		sent:      float64(c.bytes-bytes) / seconds / vms,
+		frames:    float64(c.frames-frames) / seconds / vms,
+		perWork:   math.NaN(),
+	}
+	if n := c.started - started; n > 0 {
+		out.perWork = float64(took.Nanoseconds()) / float64(n)
+	} else if size.rate > 0 {
+		return out, errors.Errorf("no request got a slot")
+	}
+	return out, nil
+}
+
+// nodeSlopes measures a VM's control cost, idle and under load.
+func nodeSlopes(o SlopeOptions) ([]Slope, error) {
+	var out []Slope
+	base := clusterSize{vms: 12, services: 2, servers: 16, slices: keySlices}
+	loaded := base
+	loaded.rate = 600
+	for _, dim := range []struct {
+		name  string
+		base  clusterSize
+		sizes []int
+		set   func(*clusterSize, int)
+	}{
+		{"VMs", base, o.sizes(8, 16, 32, 44), func(s *clusterSize, n int) { s.vms = n }},
+		{"servers of each service", base, o.sizes(16, 64, 256), func(s *clusterSize, n int) { s.servers = n }},
+		{"services", base, o.sizes(4, 32, 256), func(s *clusterSize, n int) { s.services = n }},
+		{"key shards of the region", base, o.sizes(16, 64, 256), func(s *clusterSize, n int) { s.slices = n }},
+		{"requests/s over all VMs", loaded, o.sizes(300, 600, 1200, 2400), func(s *clusterSize, n int) { s.rate = n }},
+		{"requests/s with a key, of 600", loaded, o.sizes(0, 100, 200, 400), func(s *clusterSize, n int) { s.keyed = n }},
+		{"VMs", loaded, o.sizes(8, 16, 32, 44), func(s *clusterSize, n int) { s.vms = n }},
+		{"servers of each service", loaded, o.sizes(16, 64, 256), func(s *clusterSize, n int) { s.servers = n }},
+	} {
+		b := dim.base
+		fixed := fmt.Sprintf("else %d VMs of one region, %d services of %d servers, %d key shards, %d requests/s", b.vms, b.services, b.servers, b.slices, b.rate)
+		slope := func(cost, unit string) Slope {
+			return Slope{Package: "core", Cost: cost, Unit: unit, Against: dim.name, Fixed: fixed}
+		}
+		memory, processor := slope("heap of a VM's core", "bytes"), slope("processor time of a VM's control", "% of a core")
+		sent, frames := slope("bytes sent by a VM", "bytes/s"), slope("frames sent by a VM", "1/s")
+		work := slope("control cost of a request", "ns")
+		for _, n := range dim.sizes {
+			o.Progress(fmt.Sprintf("%d %s, %d requests/s", n, dim.name, b.rate))
+			size := b
+			dim.set(&size, n)
+			cost, err := measureCluster(size)
+			if err != nil {
+				return nil, errors.Annotatef(err, "%d %s", n, dim.name)
+			}
+			x := float64(n)
+			memory.add(x, cost.heap)
+			processor.add(x, cost.processor)
+			sent.add(x, cost.sent)
+			frames.add(x, cost.frames)
+			if !math.IsNaN(cost.perWork) {
+				work.add(x, cost.perWork)
+			}
+		}
+		out = append(out, memory, processor, sent, frames)
+		if len(work.Sizes) > 0 {
+			out = append(out, work)
+		}
+	}
+	return out, nil
+}
+
+// frameSlopes measures the coding of the two frequent messages of a pool.
+func frameSlopes(o SlopeOptions) ([]Slope, error) {
+	var out []Slope
+	id := fleet.PoolID{Service: "ticket-desk", Region: "addis"}
+	for _, kind := range []struct {
+		name  string
+		build func(n int) fleet.Message
+	}{
+		{"pool_state", func(n int) fleet.Message {
+			m := &pool.State{Pool: id, Version: 3, Epoch: 1 << 40, Seq: 1000, Echo: 1000, Used: 50}
+			for i := range n {
+				m.Grants = append(m.Grants, pool.Grant{Ref: uint32(i) * 2654435761, Total: 2, Long: 1})
+			}
+			return m
+		}},
+		{"pool_sync", func(n int) fleet.Message {
+			m := &pool.Sync{Pool: id, Epoch: 1 << 40, Ack: 1000, Seq: 1000}
+			for i := range n {
+				ref := uint32(i) * 2654435761
+				m.Held = append(m.Held, pool.Held{Ref: ref, Total: 2, Long: 1, Used: 1})
+				m.Counts = append(m.Counts, pool.Evidence{Ref: ref, Route: 77, OK: 3})
+			}
+			return m
+		}},
+	} {
+		coding := Slope{Package: "wire", Cost: "encode and decode " + kind.name, Unit: "ns", Against: "servers named", Fixed: "one frame"}
+		size := Slope{Package: "wire", Cost: "size of " + kind.name, Unit: "bytes", Against: "servers named", Fixed: "one frame"}
+		for _, n := range o.sizes(5, 20, 80) {
+			m := kind.build(n)
+			frame, err := wire.Encode(m)
+			if err != nil {
+				return nil, errors.Trace(err)
+			}
+			size.add(float64(n), float64(len(frame)))
+			coding.add(float64(n), processorPer(func() {
+				frame, _ := wire.Encode(m)
+				_, _ = wire.Decode(frame)
+			}))
+		}
+		out = append(out, coding, size)
+	}
+	return out, nil
+}
--- a/pkg/bench/watch.go
+++ b/pkg/bench/watch.go
@@ -25,14 +25,47 @@
 	observers map[fleet.VMID]*observer
 	used      map[fleet.ServerID]int // requests under way, over all VMs
 	peak      map[fleet.ServerID]int
-	first     int // attempts that were no repeats
-	repeats   int
-	remote    int // attempts at servers of another region
+	begin     time.Time  // of the load
+	steps     []attempts // by timelineStep since begin
 	trials    []trial
 	queued    *hdrhistogram.Histogram // microseconds, work that is not declared long
 	samples   []sample
 }
 
+// attempts counts the decisions that gave work a server.
+type attempts struct {
+	first   int // no repeats
+	repeats int
+	remote  int // at servers of another region
+}
+
+// start begins the count of attempts.
+func (c *watch) start(begin time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begin = begin
+}
+
+// step returns the counts at this time. mu is held.
+func (c *watch) step(now time.Time) *attempts {
+	k := max(0, int(now.Sub(c.begin)/timelineStep))
+	for len(c.steps) <= k {
+		c.steps = append(c.steps, attempts{})
+	}
+	return &c.steps[k]
+}
+
+// within sums up the attempts of a time of the run.
+func (c *watch) within(s Span) attempts {
+	var out attempts
+	for k, a := range c.steps {
+		if s.holds(time.Duration(k) * timelineStep) {
+			out.first, out.repeats, out.remote = out.first+a.first, out.repeats+a.repeats, out.remote+a.remote
+		}
+	}
+	return out
+}
+
 // trial is a decision to run work on a server after its ejection.
 type trial struct {
 	vm     fleet.VMID
@@ -88,18 +121,23 @@
 	o.work[work.ID] = d.Server.ID
 	c.used[d.Server.ID]++
 	c.peak[d.Server.ID] = max(c.peak[d.Server.ID], c.used[d.Server.ID])
+	now := time.Now()
+	if c.begin.IsZero() {
+		return
+	}
+	step := c.step(now)
 	if work.IsRetry {
-		c.repeats++
+		step.repeats++
 	} else {
-		c.first++
+		step.first++
 	}
 	if d.Server.Region != o.spec.Region {
-		c.remote++
+		step.remote++
 	}
 	if d.Trial {
-		c.trials = append(c.trials, trial{o.spec.ID, d.Server.ID, work.Route, time.Now()})
+		c.trials = append(c.trials, trial{o.spec.ID, d.Server.ID, work.Route, now})
 	}
-	if work.Length != document.LengthLong {
+	if work.Length != document.LengthLong && now.Sub(c.begin) > time.Duration(c.w.s.Warmup) {
 		_ = c.queued.RecordValue(max(1, d.Queued.Microseconds()))
 	}
 }
--- a/pkg/faultproxy/faultproxy.go
+++ b/pkg/faultproxy/faultproxy.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,10 @@
 	"github.com/juju/errors"
 )
 
-const copyBuffer = 16 << 10 // bytes moved at once
+const (
+	copyBuffer = 16 << 10 // bytes moved at once
+	maxPieces  = 64       // pieces of one direction that are on the way at once
+)
 
 // Flow is what happens to the bytes of one direction. The zero value passes them on.
 type Flow struct {
@@ -185,41 +189,104 @@
 	p.mu.Unlock()
 }
 
-// pump moves one direction's bytes until its end and passes the end on.
+// piece is a part of one direction's bytes on its way.
+type piece struct {
+	data []byte
+	flow Flow
+	due  time.Time
+	end  bool // the peer closed its direction
+}
+
+// pump moves one direction's bytes until its end and passes the end on. Reading goes
+// on while earlier pieces wait out their delay, so that a delay does not limit how
+// many pieces are on the way, as on a long line.
 func (p *Proxy) pump(c *pair, from, to *net.TCPConn, pick func(Faults) Flow) {
+	line := make(chan piece, maxPieces)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		deliver(c, to, line)
+	}()
+	defer func() { <-done }()
+	defer close(line)
+	var free, last time.Time // when the line is free again; when the last piece is due
 	buf := make([]byte, copyBuffer)
-	var moved int64
 	for {
 		n, err := from.Read(buf)
 		flow := pick(p.Faults())
 		if flow.Cut {
 			p.swallowed.Add(int64(n))
 		} else if n > 0 {
-			p.sleep(flow, n)
-			piece, end := flow.limit(buf[:n], moved)
-			if _, werr := to.Write(piece); werr != nil {
-				c.close()
-				return
-			}
-			moved += int64(len(piece))
-			if end != nil {
-				end(c)
-				return
+			var due time.Time
+			due, free = p.due(flow, n, free)
+			if due.Before(last) {
+				due = last
 			}
+			last = due
+			line <- piece{data: slices.Clone(buf[:n]), flow: flow, due: due}
 		}
-		if err == io.EOF && !flow.Cut {
-			_ = to.CloseWrite()
+		if err == io.EOF {
+			if !flow.Cut {
+				line <- piece{due: last, end: true}
+			}
 			return
 		}
 		if err != nil {
-			if err != io.EOF {
-				c.close()
-			}
+			c.close()
 			return
 		}
 	}
 }
 
+// due returns when a piece that was read now arrives, and when the line is free for
+// the next one.
+func (p *Proxy) due(f Flow, n int, free time.Time) (due, next time.Time) {
+	next = time.Now()
+	if f.Bandwidth > 0 {
+		if free.After(next) {
+			next = free
+		}
+		next = next.Add(time.Duration(int64(n) * int64(time.Second) / int64(f.Bandwidth)))
+	}
+	due = next.Add(f.Delay)
+	if f.Jitter > 0 {
+		p.mu.Lock()
+		due = due.Add(time.Duration(p.rng.Int64N(int64(f.Jitter))))
+		p.mu.Unlock()
+	}
+	return due, next
+}
+
+// deliver writes the pieces when they are due. After a failure it only empties the
+// line, so that the reader does not block.
+func deliver(c *pair, to *net.TCPConn, line <-chan piece) {
+	var moved int64
+	failed := false
+	for x := range line {
+		if failed {
+			continue
+		}
+		if d := time.Until(x.due); d > 0 {
+			time.Sleep(d)
+		}
+		if x.end {
+			_ = to.CloseWrite()
+			continue
+		}
+		data, end := x.flow.limit(x.data, moved)
+		if _, err := to.Write(data); err != nil {
+			c.close()
+			failed = true
+			continue
+		}
+		moved += int64(len(data))
+		if end != nil {
+			end(c)
+			failed = true
+		}
+	}
+}
+
 // limit cuts a piece at the byte where the connection is to end.
 func (f Flow) limit(piece []byte, moved int64) ([]byte, func(*pair)) {
 	if f.ResetAfter > 0 && moved+int64(len(piece)) >= f.ResetAfter {
@@ -231,21 +298,6 @@
 	return piece, nil
 }
 
-func (p *Proxy) sleep(f Flow, n int) {
-	d := f.Delay
-	if f.Jitter > 0 {
-		p.mu.Lock()
-		d += time.Duration(p.rng.Int64N(int64(f.Jitter)))
-		p.mu.Unlock()
-	}
-	if f.Bandwidth > 0 {
-		d += time.Duration(int64(n) * int64(time.Second) / int64(f.Bandwidth))
-	}
-	if d > 0 {
-		time.Sleep(d)
-	}
-}
-
 // Control returns the HTTP control endpoint: GET and PUT /faults (Faults; durations
 // in nanoseconds), POST /reset.
 func (p *Proxy) Control() http.Handler {
