Report codes, repeats and leaving servers in the bench

Cause: a report did not say with which codes calls ended, repeats were only in the JSON, and nothing measured how long a leaving server still gets work.

--- a/pkg/bench/doc.go
+++ b/pkg/bench/doc.go
@@ -27,6 +27,8 @@
 //     Servers that got fewer than 10 requests/s before are left out.
 //   - A flapping server's held_out_share is the share of samples between the fault's
 //     start and end, beginning 5 s after its start, in which some VM obeys an ejection.
+//   - leaving_last_ms is the time from a server's listing as leaving to the start of its
+//     last run. The server itself declines work only 4 s after the listing.
 //   - false_ejections counts ejections of servers without a fault of their own, from
 //     the journals of all VMs. Ejections of one server within 5 s count once. A fault of
 //     all servers of a service, of a route, of a zone or of a link is not a server's own.
--- a/pkg/bench/faults.go
+++ b/pkg/bench/faults.go
@@ -13,7 +13,8 @@
 )
 
 // leaveDrain is how long after its listing a leaving server declines new work itself.
-const leaveDrain = time.Second
+// Until then only the list tells the fleet, whose limit is 3 s.
+const leaveDrain = 4 * time.Second
 
 // director puts the scenario's faults into force at their times.
 type director struct {
--- a/pkg/bench/measures.go
+++ b/pkg/bench/measures.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -40,7 +41,7 @@
 }
 
 func (e *evidence) measure() *Measures {
-	m := &Measures{Services: map[fleet.Service]*ServiceMeasures{}, Outcomes: map[outcome]int{}, Marks: e.marks}
+	m := &Measures{Services: map[fleet.Service]*ServiceMeasures{}, Outcomes: map[outcome]int{}, Codes: map[string]int{}, Marks: e.marks}
 	m.Invariants, m.Findings = e.books.invariants(e.s.Routes)
 	e.serviceMeasures(m)
 	e.floor(m)
@@ -64,6 +65,9 @@
 	for i := range e.books.calls {
 		c := &e.books.calls[i]
 		m.Outcomes[c.outcome]++
+		if c.outcome != outAnswered {
+			m.Codes[fmt.Sprintf("%s %s %s", c.route, c.outcome, c.code)]++
+		}
 		route := e.s.Routes[c.route]
 		s := m.Services[route.Service]
 		if s == nil {
@@ -127,8 +131,12 @@
 		}
 	}
 	var times []time.Duration
+	byService := map[fleet.Service][]time.Duration{}
 	var held, returned []float64
 	for i, f := range e.s.Faults {
+		if f.Kind == FaultLeave {
+			e.leaving(m, i, f, ledgers)
+		}
 		if f.Kind != FaultGray || f.Service != "" || !f.Mode.sick() {
 			continue
 		}
@@ -142,6 +150,8 @@
 			} else {
 				d := lastOrdinary(ledgers[id], from, to)
 				times = append(times, d)
+				name := e.servers[id].Service
+				byService[name] = append(byService[name], d)
 				if d > to.Sub(from)-stillServing {
 					m.Undetected++
 				}
@@ -151,9 +161,9 @@
 			}
 		}
 	}
-	if len(times) > 0 {
-		slices.Sort(times)
-		m.DetectionMedianMS, m.DetectionWorstMS = ptr(ms(times[len(times)/2])), ptr(ms(times[len(times)-1]))
+	m.DetectionMedianMS, m.DetectionWorstMS = medianWorst(times)
+	for name, list := range byService {
+		m.Services[name].DetectionMedianMS, m.Services[name].DetectionWorstMS = medianWorst(list)
 	}
 	if len(held) > 0 {
 		m.HeldOutShare = ptr(slices.Min(held))
@@ -163,6 +173,25 @@
 	}
 }
 
+func medianWorst(times []time.Duration) (median, worst *float64) {
+	if len(times) == 0 {
+		return nil, nil
+	}
+	slices.Sort(times)
+	return ptr(ms(times[len(times)/2])), ptr(ms(times[len(times)-1]))
+}
+
+// leaving measures when a server that was listed as leaving got its last work.
+func (e *evidence) leaving(m *Measures, i int, f Fault, ledgers map[fleet.ServerID][]run) {
+	from, _ := e.span(i, f)
+	for _, id := range f.Servers {
+		last := ms(lastOrdinary(ledgers[id], from, from.Add(time.Duration(e.s.Duration))))
+		if m.LeavingLastMS == nil || last > *m.LeavingLastMS {
+			m.LeavingLastMS = &last
+		}
+	}
+}
+
 // sick reports whether the mode is one that detection promises to find.
 func (g *GrayMode) sick() bool {
 	const failing, slower = 0.3, 5
@@ -372,14 +401,24 @@
 
 func (e *evidence) latency(m *Measures) {
 	all, lag := newHistogram(), newHistogram()
+	byService := map[fleet.Service]*hdrhistogram.Histogram{}
 	trip := 2 * time.Duration(e.s.Topology.ToClients)
 	for i := range e.books.calls {
 		c := &e.books.calls[i]
 		_ = lag.RecordValue(max(1, c.sent.Sub(e.begin.Add(c.at)).Microseconds()))
 		if c.at >= time.Duration(e.s.Warmup) && c.outcome == outAnswered {
-			_ = all.RecordValue(max(1, (c.latency(e.begin) + trip).Microseconds()))
+			us := max(1, (c.latency(e.begin) + trip).Microseconds())
+			_ = all.RecordValue(us)
+			name := e.s.Routes[c.route].Service
+			if byService[name] == nil {
+				byService[name] = newHistogram()
+			}
+			_ = byService[name].RecordValue(us)
 		}
 	}
+	for name, h := range byService {
+		m.Services[name].LatencyP50MS, m.Services[name].LatencyP99MS, _ = quantiles(h)
+	}
 	m.LatencyP50MS, m.LatencyP99MS, m.LatencyP999MS = quantiles(all)
 	_, m.GeneratorLagP99MS, _ = quantiles(lag)
 }
--- a/pkg/bench/report.go
+++ b/pkg/bench/report.go
@@ -43,6 +43,7 @@
 	Undetected           int      `json:"undetected"`
 	HeldOutShare         *float64 `json:"held_out_share"`
 	ReadmittedWorstMS    *float64 `json:"readmitted_worst_ms"`
+	LeavingLastMS        *float64 `json:"leaving_last_ms"` // from the listing as leaving to the last start of work
 	WeightServedRatio    *float64 `json:"weight_served_ratio"`
 	WeightServedRatioRun *float64 `json:"weight_served_ratio_run"`
 	RecoveryMS           *float64 `json:"recovery_ms"`
@@ -79,6 +80,7 @@
 	LoadAverage *float64 `json:"load_average"` // of the machine over the last minute of the run
 
 	Outcomes       map[outcome]int                    `json:"outcomes"`
+	Codes          map[string]int                     `json:"codes"` // by route, outcome and Fulmar-Code
 	Services       map[fleet.Service]*ServiceMeasures `json:"services"`
 	Findings       []Finding                          `json:"findings,omitempty"`
 	FalselyEjected []Ejection                         `json:"falsely_ejected,omitempty"`
@@ -103,6 +105,11 @@
 	WeightNotRun  float64 `json:"weight_not_run"`
 	WeightUnknown float64 `json:"weight_unknown"`
 	WeightFailed  float64 `json:"weight_failed"`
+
+	LatencyP50MS      *float64 `json:"latency_p50_ms"`
+	LatencyP99MS      *float64 `json:"latency_p99_ms"`
+	DetectionMedianMS *float64 `json:"detection_median_ms"`
+	DetectionWorstMS  *float64 `json:"detection_worst_ms"`
 }
 
 func (s *ServiceMeasures) add(o outcome, weight float64, served bool) {
@@ -142,6 +149,21 @@
 	value func(*Measures) *float64
 }
 
+// median returns the row's median over all runs of a policy that have a value.
+func (r *Report) median(policy string, line row) *float64 {
+	var values []float64
+	for _, m := range append([]*Measures{r.Policies[policy]}, r.Repeats[policy]...) {
+		if v := line.value(m); v != nil {
+			values = append(values, *v)
+		}
+	}
+	if len(values) == 0 {
+		return nil
+	}
+	slices.Sort(values)
+	return &values[len(values)/2]
+}
+
 func whole(f func(*Measures) int) func(*Measures) *float64 {
 	return func(m *Measures) *float64 { return ptr(float64(f(m))) }
 }
@@ -168,6 +190,7 @@
 	{"undetected", whole(func(m *Measures) int { return m.Undetected })},
 	{"held_out_share", func(m *Measures) *float64 { return m.HeldOutShare }},
 	{"readmitted_worst_ms", func(m *Measures) *float64 { return m.ReadmittedWorstMS }},
+	{"leaving_last_ms", func(m *Measures) *float64 { return m.LeavingLastMS }},
 	{"weight_served_ratio", func(m *Measures) *float64 { return m.WeightServedRatio }},
 	{"weight_served_ratio_run", func(m *Measures) *float64 { return m.WeightServedRatioRun }},
 	{"recovery_ms", func(m *Measures) *float64 { return m.RecoveryMS }},
@@ -211,18 +234,22 @@
 	return fmt.Sprintf("%.3f", *v)
 }
 
-// Write prints the report as a table with a column for each policy. With several
-// policies a second table holds the ratios to the product.
+// Write prints the report as a table with a column for each policy: the medians when
+// runs were repeated, and the counts of calls and weights of the first run. With
+// several policies a second table holds the ratios to the product.
 func (r *Report) Write(out io.Writer) error {
 	fmt.Fprintf(out, "%s, seed %d: %d VMs, %d servers, %d requests, %.0f requests/s at full slots, %.0f at the crest\n",
 		r.Scenario, r.Seed, r.Size.VMs, r.Size.Servers, r.Size.Requests, r.Size.CapacityRPS, r.Size.PeakRPS)
 	names := r.names()
+	if n := len(r.Repeats[names[0]]); n > 0 {
+		fmt.Fprintf(out, "medians of %d runs\n", n+1)
+	}
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintf(t, "measure\t%s\t\n", strings.Join(names, "\t"))
 	for _, line := range rows {
 		fmt.Fprintf(t, "%s\t", line.name)
 		for _, name := range names {
-			fmt.Fprintf(t, "%s\t", number(line.value(r.Policies[name])))
+			fmt.Fprintf(t, "%s\t", number(r.median(name, line)))
 		}
 		fmt.Fprintln(t)
 	}
@@ -264,13 +291,13 @@
 func (r *Report) writeRatios(t io.Writer, names []string) {
 	fmt.Fprintf(t, "\t\nratio to %s\t%s\t\n", ProductPolicy, strings.Join(names, "\t"))
 	for _, line := range rows {
-		base := line.value(r.Policies[ProductPolicy])
+		base := r.median(ProductPolicy, line)
 		if base == nil || *base == 0 {
 			continue
 		}
 		fmt.Fprintf(t, "%s\t", line.name)
 		for _, name := range names {
-			v := line.value(r.Policies[name])
+			v := r.median(name, line)
 			if v != nil {
 				v = ptr(*v / *base)
 			}
