--- a/pkg/document/validate.go
+++ b/pkg/document/validate.go
@@ -46,6 +46,7 @@
 	checkSizes(&p, doc)
 	checkRoot(&p, doc.Root)
 	regions := regionSet(doc.Root)
+	retention := doc.Root.Filled().KeyRetention
 	for name, s := range doc.Sections {
 		path := "sections." + name
 		checkSectionName(&p, path, name)
@@ -53,7 +54,7 @@
 			checkService(&p, join(path, "services."+string(n)), string(n), v)
 		}
 		for n, v := range s.Routes {
-			checkRoute(&p, join(path, "routes."+n), n, v)
+			checkRoute(&p, join(path, "routes."+n), n, v, retention)
 		}
 		for n, v := range s.Workspaces {
 			if bad := !validName(n) || !regions[v.Home] || !validWeight(v.Weight); bad {
@@ -71,7 +72,7 @@
 // ValidateChange checks a document in which only the entries refs of one section
 // differ from a valid document. It reaches the same verdict as Validate without
 // visiting the other workspaces.
-func ValidateChange(doc *Document, section string, refs []Ref) Problems {
+func ValidateChange(doc, before *Document, section string, refs []Ref) Problems {
 	var p Problems
 	checkSizes(&p, doc)
 	path := "sections." + section
@@ -95,9 +96,10 @@
 		case Service:
 			checkService(&p, where, ref.Name, v)
 		case Route:
-			checkRoute(&p, where, ref.Name, v)
+			checkRoute(&p, where, ref.Name, v, doc.Root.Filled().KeyRetention)
 		case Workspace:
 			checkWorkspace(&p, where, ref.Name, v, regions)
+			checkHome(&p, where, v, before.Sections[section].Workspaces, ref.Name)
 		}
 		for other, o := range doc.Sections {
 			if _, twice := o.entry(ref); twice && other != section {
@@ -121,6 +123,7 @@
 	if doc.Root.Filled().KeySlices != before.Filled().KeySlices {
 		p.addf("fleet.key_slices", "fixed after the first document: keys would move to other shards")
 	}
+	checkRegionChange(&p, doc.Root, before)
 	p.sort()
 	return p
 }
@@ -276,7 +279,7 @@
 	}
 }
 
-func checkRoute(p *Problems, path, name string, r Route) {
+func checkRoute(p *Problems, path, name string, r Route, retention Duration) {
 	checkName(p, path, name)
 	checkPath(p, path+".path", r.Path)
 	if len(r.Path) > 1 && strings.HasSuffix(r.Path, "/") {
@@ -307,6 +310,10 @@
 	if !validWeight(r.Weight) {
 		p.addf(path+".weight", "%v is not within 0 and %v", r.Weight, MaxWeight)
 	}
+	if d := r.Filled().Deadline; !r.Idempotent && d >= retention {
+		// A request that outlives the record of its key could run again.
+		p.addf(path+".deadline", "%v is not below fleet.key_retention (%v)", time.Duration(d), time.Duration(retention))
+	}
 	if r.Deadline < 0 || r.Deadline > MaxDeadline {
 		p.addf(path+".deadline", "%v is not within 0s and %v", time.Duration(r.Deadline), time.Duration(MaxDeadline))
 	}
@@ -428,3 +435,25 @@
 		}
 	}
 }
+
+// checkHome refuses a new home region. The keys of a workspace are at its home, so a
+// repeat of a request would not find the record of the first one.
+func checkHome(p *Problems, where string, now Workspace, before map[string]Workspace, name string) {
+	if old, existed := before[name]; existed && old.Home != now.Home {
+		p.addf(where+".home", "fixed while the workspace exists (%s): its idempotency keys would not be found", old.Home)
+	}
+}
+
+// checkRegionChange keeps the regions by which keys without a workspace are placed.
+func checkRegionChange(p *Problems, now, before Root) {
+	if now.KeyRegions != before.KeyRegions {
+		p.addf("fleet.key_regions", "fixed after the first document: keys would move to other regions")
+	}
+	kept := len(before.Regions)
+	switch {
+	case before.KeyRegions == 0 && !slices.Equal(now.Regions, before.Regions):
+		p.addf("fleet.regions", "fixed after the first document unless it set key_regions: keys would move to other regions")
+	case len(now.Regions) < kept || !slices.Equal(now.Regions[:kept], before.Regions):
+		p.addf("fleet.regions", "regions may only be appended")
+	}
+}
--- a/pkg/pool/client.go
+++ b/pkg/pool/client.go
@@ -90,6 +90,7 @@
 	mode     mode
 	version  uint64
 	hint     *Redirect
+	asked    int // which VM of another region to ask for the owner
 	epoch    uint64
 	ack      uint64
 	seq      uint64
@@ -100,6 +101,7 @@
 	stateAt  fleet.Time
 	usedPct  int
 	cutoff   int8
+	openAt   fleet.Time // a new coordinator lends unreported slots from here on
 
 	lastSync   fleet.Time
 	lastAway   fleet.Time
@@ -107,10 +109,12 @@
 	lastWork   fleet.Time
 	lastIdem   fleet.Time
 	lastRoutes fleet.Time
-	wake       bool // sync at the next tick
-	bad        bool // failure evidence is pending
-	inquire    bool // the pool of another region: ask for its use
-	arrived    int
+	wake       bool     // sync at the next tick
+	bad        bool     // failure evidence is pending
+	inquire    bool     // the pool of another region: ask for its use
+	arrived    int      // work queued since the last sync
+	toldIdle   int      // idle credits as last reported
+	shrunk     bool     // a recall is not confirmed yet
 	drainTell  []uint32 // servers that said that they leave, for the next sync
 }
 
@@ -157,10 +161,7 @@
 		}
 	}
 	it := &item{work: w, pool: pl, route: r, since: now, class: class, long: r.long, picky: len(w.Exclude) > 0, index: -1}
-	it.expiry = now.Add(maxQueueWait)
-	if w.Deadline > 0 {
-		it.expiry = min(it.expiry, w.Deadline.Add(-r.p90()))
-	}
+	it.expiry = it.waitsUntil(now)
 	c.admit(now, it)
 	c.needSlot(now)
 	p.deliver()
--- a/pkg/pool/clientcredits.go
+++ b/pkg/pool/clientcredits.go
@@ -11,6 +11,9 @@
 	awayEvery   = 400 * time.Millisecond // to a lost owner
 	queueEvery  = 20 * time.Millisecond  // while work waits
 	routesEvery = time.Second
+	idleEvery   = 40 * time.Millisecond // when clearly more credits lie idle than reported
+	idleNews    = 2
+	fewQueued   = 8                // queued work that is worth a sync per round trip
 	remoteFor   = 5 * time.Second  // a remote pool is synced this long after work
 	spareFor    = 30 * time.Second // one spare credit is kept this long after work
 )
@@ -26,7 +29,7 @@
 		// Views are announced within a region; any VM there redirects to the owner.
 		vms := fleet.Rendezvous(c.pool.shard.String(), c.p.dir.RegionVMs(c.pool.id.Region))
 		if len(vms) > 0 {
-			return Redirect{Pool: c.pool.id, Owner: fleet.Member{VM: vms[0].ID, Incarnation: 1}}, true
+			return Redirect{Pool: c.pool.id, Owner: fleet.Member{VM: vms[c.asked%len(vms)].ID, Incarnation: 1}}, true
 		}
 	}
 	return r, ok
@@ -125,6 +128,7 @@
 		since >= syncActive && (quiet < activeFor || c.used > 0 || c.mode != modeOwner || c.inquire) ||
 		since >= syncEvidence && c.bad ||
 		since >= queueEvery && c.queue.n > 0 ||
+		since >= idleEvery && c.idle() >= c.toldIdle+idleNews ||
 		since >= syncUrgent && c.wake
 	if due {
 		c.sync(now)
@@ -173,6 +177,7 @@
 		c.waiting = now
 	}
 	c.compact()
+	c.arrived, c.toldIdle = 0, c.idle()
 	m := &Sync{
 		Pool: c.pool.id, Epoch: c.epoch, Ack: c.ack, Seq: c.seq,
 		Queue:  c.queue.demands(),
@@ -260,14 +265,27 @@
 	c.answered(now, m.Echo)
 	c.leaseEnd = max(c.leaseEnd, sent.Add(creditLease))
 	c.stateAt, c.usedPct, c.cutoff = now, m.Used, int8(m.Cutoff)
+	if m.Opening > 0 {
+		c.openAt = now.Add(time.Duration(m.Opening) * time.Millisecond)
+	}
 	c.takeRoutes(m.Routes)
 	c.takeEjected(now, sent, m)
 	if now < c.leaseEnd && c.p.cfg.Policy == PolicyCredits {
 		c.takeGrants(m)
 	}
 	c.pump(now)
-	if c.queue.n > 0 {
+	c.answer(now)
+}
+
+// answer syncs again soon after a state: at once when the coordinator waits for
+// recalled credits or a few pieces of work still wait for one.
+func (c *client) answer(now fleet.Time) {
+	if c.shrunk || c.queue.n > 0 && c.arrived > 0 {
 		c.wake = true
+		if c.shrunk || c.queue.n <= fewQueued {
+			c.shrunk = false
+			c.sync(now)
+		}
 	}
 }
 
@@ -309,9 +327,7 @@
 		}
 	}
 	c.compact()
-	if shrunk {
-		c.wake = true // the coordinator waits for the credit
-	}
+	c.shrunk = c.shrunk || shrunk
 }
 
 // takeEjected renews, sets and ends ejections. A lease counts from the sending of
@@ -365,9 +381,7 @@
 		c.takeGrants(m)
 	}
 	c.pump(now)
-	if c.queue.n > 0 {
-		c.wake = true
-	}
+	c.answer(now)
 }
 
 // backToOwner ends the use of copy or allotment.
@@ -399,6 +413,10 @@
 			break
 		}
 		c.dropGrants()
+		if !c.home() && c.waiting > 0 && now.Sub(c.waiting) > ownerSilence {
+			c.hint, c.waiting = nil, 0 // ask another VM of that region who the owner is
+			c.asked++
+		}
 		if c.waiting == 0 || now.Sub(c.waiting) < ownerSilence || !c.home() {
 			break // nothing was asked lately, or no fallback
 		}
--- a/pkg/pool/messages.go
+++ b/pkg/pool/messages.go
@@ -108,6 +108,7 @@
 	Cutoff  int          `msgpack:"c,omitempty"`
 	Used    int          `msgpack:"u,omitempty"` // percent of the pool's slots in use
 	Routes  []RouteStat  `msgpack:"r,omitempty"`
+	Opening int          `msgpack:"w,omitempty"` // milliseconds until a new coordinator lends unreported slots
 }
 
 // Kind returns the message's number.
@@ -135,12 +136,18 @@
 	Cause   string         `msgpack:"w"`
 }
 
+// EjectionState is the state of a pool's shard.
+type EjectionState struct {
+	Wait int64            `msgpack:"w,omitempty"` // milliseconds until the first ejection after lost history
+	Set  []EjectionRecord `msgpack:"s,omitempty"`
+}
+
 // Replicate carries the owner's ejected set to the copy.
 type Replicate struct {
-	Pool    fleet.PoolID     `msgpack:"p"`
-	Version uint64           `msgpack:"v"`
-	Seq     uint64           `msgpack:"n"`
-	Set     []EjectionRecord `msgpack:"s,omitempty"`
+	Pool    fleet.PoolID  `msgpack:"p"`
+	Version uint64        `msgpack:"v"`
+	Seq     uint64        `msgpack:"n"`
+	State   EjectionState `msgpack:"s"`
 }
 
 // Kind returns the message's number.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -120,7 +120,8 @@
 	idle     chan struct{} // closed when inFlight reaches 0 after Drain was called
 }
 
-// New returns a Proxy. It fails without an Engine.
+// New returns a Proxy. It fails without an Engine, and without a Table while
+// document.Index has no look-ups of its own.
 func New(c Config) (*Proxy, error) {
 	if c.Engine == nil {
 		return nil, errors.NotValidf("proxy without an engine")
@@ -159,8 +160,7 @@
 	if x == nil {
 		return nil
 	}
-	t, _ := any(x).(RouteTable)
-	return t
+	return x
 }
 
 // enter counts a request in flight; it reports false once Drain was called.
