Classify lost callers rightly and restart cold servers as the platform does

Added latency covered the queue left after a peak.

Change: a call of which anything was written is cut or lost, never refused. A cold restart lists the server as leaving for 3 s, then starts a new one under its id; its old ledger is kept. Added latency leaves out 5 s after the peak.

--- a/pkg/bench/bound.go
+++ b/pkg/bench/bound.go
@@ -95,7 +95,11 @@
 		case FaultLeave:
 			return 0
 		case FaultCold:
-			share *= s.Services[name].Cold.share(t - time.Duration(span.Start))
+			age := t - time.Duration(span.Start) - restartTime
+			if age < 0 {
+				return 0
+			}
+			share *= s.Services[name].Cold.share(age)
 		case FaultGray:
 			if f.End == 0 || t < time.Duration(f.End) {
 				share *= f.Mode.share(t - time.Duration(span.Start))
--- a/pkg/bench/doc.go
+++ b/pkg/bench/doc.go
@@ -37,15 +37,17 @@
 //     names no peak. The bound treats a service's slots as one divisible resource in
 //     buckets of one second, from the arrival to the deadline of each request, with the
 //     work times drawn for the run. It fills the buckets by weight per slot time,
-//     highest first. A gray server counts with the share of work that it answers, over
+//     highest first. It takes no time off for the way between two pieces of work in a
+//     slot, so that no scheduler can reach 1 at full load. A gray server counts with the share of work that it answers, over
 //     its slowdown; a server that left or is cold counts accordingly.
 //   - The wait of a request is its latency minus the work time in the ledger of the
 //     server that answered, minus the path's simulated latency. short_wait covers the
 //     requests on routes that are not long and that are no stragglers.
 //   - Added latency is the wait of requests that ran once and carry no key, after the
-//     warm-up and outside the peak, against direct calls through the same kind of path
-//     to a server outside all pools: the difference of the quantiles. It covers
-//     requests whose server is in the entry VM's region.
+//     warm-up and neither in the peak nor in the 5 s after it, against direct calls
+//     through the same kind of path to a server outside all pools: the difference of
+//     the quantiles. It covers requests whose server is in the entry VM's region. On a
+//     busy machine both quantiles hold its delays: compare with direct_overhead_p99_ms.
 //   - slot_excess is the most requests that all VMs together had under way at one
 //     server, by their own accounting, beyond its slots.
 //   - shed_ratio is sheds at servers over runs and sheds. retry_ratio is repeats sent to
--- a/pkg/bench/load.go
+++ b/pkg/bench/load.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -164,9 +166,11 @@
 	route := l.w.s.Routes[c.route]
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(route.Deadline)+callerGrace)
 	defer cancel()
+	var wrote atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
 	resp, err := l.client.Do(l.httpRequest(ctx, c, route, t))
 	if err != nil {
-		c.outcome = failure(ctx, err)
+		c.outcome = failure(ctx, err, wrote.Load())
 		return
 	}
 	defer resp.Body.Close()
@@ -174,7 +178,7 @@
 	c.status, c.code = resp.StatusCode, resp.Header.Get("Fulmar-Code")
 	c.server = fleet.ServerID(resp.Header.Get(standin.HeaderServer))
 	if err != nil {
-		c.outcome = failure(ctx, err)
+		c.outcome = failure(ctx, err, true)
 		return
 	}
 	c.outcome = c.judge(resp.Header.Get("Fulmar-Outcome"), route, string(body))
@@ -240,13 +244,15 @@
 	return outAnswered
 }
 
-// failure classifies an error of the caller's connection.
-func failure(ctx context.Context, err error) outcome {
+// failure classifies an error of the caller's connection. After a lost connection
+// net/http sends a GET again by itself, so a failed connect alone does not show that
+// nothing was sent before.
+func failure(ctx context.Context, err error, wrote bool) outcome {
 	var op *net.OpError
 	switch {
 	case ctx.Err() != nil:
 		return outTimeout
-	case errors.As(err, &op) && op.Op == "dial":
+	case !wrote && errors.As(err, &op) && op.Op == "dial":
 		return outRefused
 	}
 	return outCut
--- a/pkg/bench/run.go
+++ b/pkg/bench/run.go
@@ -142,6 +142,13 @@
 		ledgers[id] = b.Ledger()
 		e.counts[id] = b.Counts()
 	}
+	for _, x := range w.ended {
+		ledgers[x.id] = append(x.ledger, ledgers[x.id]...)
+		c := e.counts[x.id]
+		c.Started, c.Shed, c.Probes = c.Started+x.counts.Started, c.Shed+x.counts.Shed, c.Probes+x.counts.Probes
+		c.PeakConns = max(c.PeakConns, x.counts.PeakConns)
+		e.counts[x.id] = c
+	}
 	e.events, e.servers, e.samples = w.events, w.servers, w.watch.samples
 	for i := range l.calls {
 		c := &l.calls[i]
@@ -186,7 +193,8 @@
 		<-ticker.C
 		d, _ := w.s.Routes[names[n%len(names)]].Work.draw(rng)
 		r := request{n: n}
-		warm := time.Since(begin) >= time.Duration(w.s.Warmup) && (w.s.Peak == nil || !w.s.Peak.holds(time.Since(begin)))
+		at := time.Since(begin)
+		warm := at >= time.Duration(w.s.Warmup) && !w.s.crowded(at)
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
