--- a/pkg/bench/doc.go
+++ b/pkg/bench/doc.go
@@ -42,7 +42,8 @@
 //     its slowdown; a server that left or is cold counts accordingly.
 //   - The wait of a request is its latency minus the work time in the ledger of the
 //     server that answered, minus the path's simulated latency. short_wait covers the
-//     requests on routes that are not long and that are no stragglers.
+//     requests on routes that are not long and that are no stragglers, neither in the
+//     peak nor in the 5 s after it: there, short work waits for other short work.
 //   - Added latency is the wait of requests that ran once and carry no key, after the
 //     warm-up and neither in the peak nor in the 5 s after it, against direct calls
 //     through the same kind of path to a server outside all pools: the difference of
--- a/pkg/bench/measures.go
+++ b/pkg/bench/measures.go
@@ -320,7 +320,7 @@
 		}
 		route := e.s.Routes[c.route]
 		us := max(1, wait.Microseconds())
-		if !route.Long && !c.straggler {
+		if !route.Long && !c.straggler && !e.s.crowded(c.at) {
 			_ = short.RecordValue(us)
 		}
 		if len(e.books.runs[c.id()]) != 1 || e.s.crowded(c.at) || e.servers[c.server].Region != c.region {
