Warm up a server that restarts under the same id

Change: a row that goes from leaving to live, or changes its address, begins a new warm-up and ramp.

--- a/pkg/pool/detect_test.go
+++ b/pkg/pool/detect_test.go
@@ -84,6 +84,19 @@
 				s.setDirectory()
 			})
 		},
+		"restart under the same id": func(s *sim) {
+			s.rate = 1500
+			s.after(5*time.Second, func() {
+				srv := s.servers["s03"]
+				srv.row.State = fleet.StateLeaving
+				s.setDirectory()
+				s.after(3*time.Second, func() {
+					srv.row.State, srv.slow = fleet.StateLive, 10
+					s.setDirectory()
+					s.after(2500*ms, func() { srv.slow = 1 })
+				})
+			})
+		},
 		"failing route": func(s *sim) {
 			s.rate = 300
 			s.routes = append(s.routes, simRoute{name: "broken", work: 10 * ms, weight: 1, share: 0.1, fail: 1, deadline: 10 * time.Second})
--- a/pkg/pool/table.go
+++ b/pkg/pool/table.go
@@ -86,7 +86,7 @@
 			i, free = pl.addRow(now, s, free)
 		}
 		r := &pl.rows[i]
-		if !r.listed {
+		if !r.listed || restarted(r.server, s) {
 			r.listed, r.born, r.cold = true, now, pl.seeded
 		}
 		r.server = s
@@ -107,6 +107,13 @@
 	}
 }
 
+// restarted reports that a row shows another process of the server: one that was
+// leaving is live again, or it has a new address. The list may lag too much to show it
+// absent in between.
+func restarted(before, after fleet.Server) bool {
+	return before.State == fleet.StateLeaving && after.State == fleet.StateLive || before.Addr != after.Addr
+}
+
 func (pl *pool) reusable(now fleet.Time) []int32 {
 	var free []int32
 	for i := range pl.rows {
