Model the ejection floor over the members of a shard

Cause: floor.pml recruits a copy in one step, ends members only together with a takeover, has no second proposal of a server whose budget is still taken, and lets all clocks agree. check.sh did not run it. Change: floor-members.pml adds these steps, and counts the servers for which a copy lends no slots. check.sh runs both models and their mutations, two searches at a time. Outside of them a copy withholds the slots of ejected servers for as long as its owner is silent, also when leaves bring the pool below its floor meanwhile.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # Checks the Spin models of this directory. Each line of MODELS is a name, a file, what
 # is expected (pass or fail), and the definitions. A mutation (fail) must be rejected.
-# Fails when a model fails, a search is incomplete, or a mutation passes.
+# Fails when a model fails, a search is incomplete, or a mutation passes. Two searches
+# run at a time, each with at most 2 GB.
 set -u
 cd "$(dirname "$0")" || exit 1
 
@@ -21,29 +22,39 @@
 old-list         keys.pml fail -DMUT_OLDLIST -DCLAIMS -DNV=5 -DMAXKILL=1 -DMAXRESIGN=0
 generation       keys.pml fail -DMUT_GENERATION -DCLAIMS -DNV=5 -DMAXKILL=1 -DMAXRESIGN=0
 one-promise      keys.pml fail -DMUT_PARTIAL -DCLAIMS -DNV=4 -DMAXKILL=2 -DMAXRESIGN=0
+floor            floor.pml pass
+floor-free-early floor.pml fail -DFREE_EARLY
+floor-copy       floor.pml fail -DCOPY_EJECTS
+floor-no-wait    floor.pml fail -DNO_WAIT
+floor-no-accept  floor.pml fail -DNO_ACCEPT
+floor-lose-wait  floor.pml fail -DLOSE_WAIT
+floor-three      floor-members.pml pass -DNS=3 -DBUDGET=2 -DL=2 -DH=3 -DMAXKILL=3
+floor-long       floor-members.pml pass -DNS=2 -DBUDGET=1 -DL=3 -DH=4 -DMAXKILL=4
+floor-clients    floor-members.pml pass -DCLIENTS -DNS=2 -DBUDGET=1 -DL=2 -DH=3 -DMAXKILL=2
+budget-free      floor-members.pml fail -DMUT_FREE
+no-margin        floor-members.pml fail -DMUT_MARGIN -DL=2 -DH=2
+copy-ejects      floor-members.pml fail -DMUT_SILENCE
+claim-no-wait    floor-members.pml fail -DMUT_NOWAIT
+wait-lost        floor-members.pml fail -DMUT_WAITLOST
+told-early       floor-members.pml fail -DMUT_EARLY
+stale-ack        floor-members.pml fail -DMUT_STALEACK
+ended-lost       floor-members.pml fail -DMUT_ENDED
+eject-in-prepare floor-members.pml fail -DMUT_FREEZE
+lease-at-receipt floor-members.pml fail -DMUT_RECEIPT -DCLIENTS -DMAXKILL=0
 '
 
-if ! command -v spin >/dev/null; then
-	apt-get update -qq && apt-get install -y -qq spin || exit 1
-fi
-spec=$PWD
-work=$(mktemp -d) || exit 1
-trap 'rm -rf "$work"' EXIT
-status=0
-
 # check NAME FILE EXPECTED DEFINITIONS...
 check() {
 	name=$1 file=$2 expected=$3
 	shift 3
-	mkdir "$work/$name" && cd "$work/$name" || exit 1
+	mkdir "$work/$name" && cd "$work/$name" || return 1
 	if ! spin -a "$@" "$spec/$file" >spin.out 2>&1 ||
 		! cc -w -O2 -DSAFETY -DMEMLIM=2000 -o pan pan.c 2>cc.out; then
 		cat spin.out cc.out
 		echo "FAIL $name: the model does not compile"
-		status=1
-		return
+		return 1
 	fi
-	./pan -m100000 -w24 >out 2>&1
+	./pan -m1000000 -w24 >out 2>&1
 	errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' out)
 	states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' out)
 	seconds=$(sed -n 's/.*elapsed time \([0-9.]*\) seconds.*/\1/p' out)
@@ -57,15 +68,24 @@
 	else
 		tail -40 out
 		echo "FAIL $name: expected $expected, $figures"
-		status=1
+		return 1
 	fi
 }
 
-while read -r line; do
-	# The definitions are words without blanks.
-	# shellcheck disable=SC2086
-	[ -z "$line" ] || check $line
-done <<LIST
-$MODELS
-LIST
-exit $status
+spec=$PWD
+# xargs below starts this script again with "check" and one line of the list.
+if [ "${1:-}" = check ]; then
+	shift
+	check "$@" >"$work/$1.out"
+	failed=$?
+	cat "$work/$1.out"
+	exit $failed
+fi
+
+if ! command -v spin >/dev/null; then
+	apt-get update -qq && apt-get install -y -qq spin || exit 1
+fi
+work=$(mktemp -d) || exit 1
+export work
+trap 'rm -rf "$work"' EXIT
+echo "$MODELS" | sed '/^$/d' | xargs -P 2 -L 1 sh "$spec/check.sh" check
