Model the configuration log and list the models' bounds

The state of every other reader is kept as the furthest offset only, since each step checks that readers agree on the state at an offset. README.md lists what is modelled, bounds, states, mutations and what is left out. Two of the mutations are what the code does in one case each: a refusal without proof is not remembered, so that a late copy may be accepted once the team has the key; and a VM that lags refuses an edit by its own state although the log may have accepted it.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -2,7 +2,7 @@
 # Checks the Spin models of this directory. Each line of MODELS is a name, a file, what
 # is expected (pass or fail), and the definitions. A mutation (fail) must be rejected.
 # Fails when a model fails, a search is incomplete, or a mutation passes. Two searches
-# run at a time, each with at most 2 GB.
+# run at a time, each with at most 2 GB. README.md describes the models.
 set -u
 cd "$(dirname "$0")" || exit 1
 
@@ -41,6 +41,16 @@
 ended-lost       floor-members.pml fail -DMUT_ENDED
 eject-in-prepare floor-members.pml fail -DMUT_FREEZE
 lease-at-receipt floor-members.pml fail -DMUT_RECEIPT -DCLIENTS -DMAXKILL=0
+log-six          configlog.pml pass -DNL=6 -DNR=2 -DMAXCOPY=2 -DRESTARTS=0
+log-restart      configlog.pml pass -DNL=5 -DNR=2 -DMAXCOPY=3 -DRESTARTS=1
+no-base          configlog.pml fail -DMUT_BASE
+covers-late      configlog.pml fail -DMUT_COVERS -DNL=5
+old-snapshot     configlog.pml fail -DMUT_OLDSNAP -DNL=5
+skip-gap         configlog.pml fail -DMUT_GAP -DNL=5
+older-peer       configlog.pml fail -DMUT_PEERBACK -DNL=5
+no-history       configlog.pml fail -DMUT_HISTORY -DNL=5
+refusal-forgot   configlog.pml fail -DMUT_FORGET -DNL=5
+precheck-final   configlog.pml fail -DMUT_PRECHECK -DNL=5
 '
 
 # check NAME FILE EXPECTED DEFINITIONS...
