--- a/pkg/standin/backend.go
+++ b/pkg/standin/backend.go
@@ -154,6 +154,9 @@
 	run, mode, refusal := b.admit(r, body)
 	if refusal != "" {
 		w.Header().Set(refusal, "1")
+		if b.config.Echo != "" {
+			w.Header().Set(b.config.Echo, r.Header.Get("X-Request-Id"))
+		}
 		if refusal == headerDeclined {
 			w.Header().Set(headerDraining, "1")
 		}
