Close five gaps that the models of the log and the floor showed

Change: the copy forgets the set after a lease, refusals without proof bind late copies too, a base ahead goes to the log, the wait ends with unknown, the search goes on from the base, the margin is a tenth of the lease.

--- a/pkg/configlog/publish.go
+++ b/pkg/configlog/publish.go
@@ -82,7 +82,9 @@
 		return Verdict{ID: e.ID, Section: e.Section, Team: e.Team, Code: code, Detail: "this VM cannot publish"}
 	}
 	v := n.state.Check(e)
-	if v.Code != result.OK && (v.Code == result.ConfigDuplicate || !n.behind) {
+	// A base above this VM's revision proves that this VM lags: only the log can judge.
+	lags := n.behind || e.Base > n.state.SectionRevision(e.Section)
+	if v.Code != result.OK && (v.Code == result.ConfigDuplicate || !lags) {
 		return v
 	}
 	data, err := EncodeEdit(e)
@@ -214,6 +216,10 @@
 	case j.edit != "" && !n.awaits(j.edit):
 		return true
 	case j.done && n.state.Next() > j.offset || j.done && j.snapshot:
+		if j.edit != "" && n.awaits(j.edit) {
+			// The state came from a snapshot or a peer and no longer holds the verdict.
+			n.settle(Verdict{ID: j.edit, Code: result.ConfigUnknown, Detail: "the verdict is no longer among those kept"})
+		}
 		return true
 	case now >= j.until:
 		if j.edit != "" {
--- a/pkg/configlog/reader.go
+++ b/pkg/configlog/reader.go
@@ -159,9 +159,8 @@
 // the newest that the kept records continue.
 func (n *Node) scanRecords(now fleet.Time, batch platform.Batch) {
 	r := &n.reader
-	if batch.Base > r.scanPos && len(batch.Records) > 0 {
-		r.scanPos = batch.Records[0].Offset // records expired during the search
-	}
+	// Records expired during the search, possibly all that were left.
+	r.scanPos = max(r.scanPos, batch.Base)
 	for _, rec := range batch.Records {
 		if rec.Offset != r.scanPos {
 			continue
--- a/pkg/configlog/state.go
+++ b/pkg/configlog/state.go
@@ -418,6 +418,11 @@
 			return ch, true, result.Errorf(v.Code, "%s", v.Detail)
 		}
 	}
+	// The same holds for one whose key the root section did not hold then.
+	if i := find(s.stray, e.seen(s.stream)); i >= 0 {
+		v := s.stray[i].Verdict
+		return ch, false, result.Errorf(v.Code, "%s", v.Detail)
+	}
 	team, known := s.doc.Root.Teams[e.Team]
 	if !known || !slices.Contains(team.Sections, e.Section) {
 		return ch, false, result.Errorf(result.ConfigForbidden, "team %q does not own section %q", e.Team, e.Section)
--- a/pkg/pool/coord.go
+++ b/pkg/pool/coord.go
@@ -16,6 +16,8 @@
 	fairEvery      = 100 * time.Millisecond
 	// leaseMargin is added where an end must lie after that of a client's lease.
 	leaseMargin = 250 * time.Millisecond
+	// ejectionMargin is the same for ejections: clock rates may differ by 10%.
+	ejectionMargin = ejectionLease / 10
 )
 
 // coord is the coordinator's state of a pool at the shard's owner, and the kept
@@ -50,6 +52,7 @@
 	ejections []*ejection // sorted by server
 	repSeq    uint64
 	repSent   fleet.Time
+	repHeard  fleet.Time // at the copy: the owner's last ejected set
 	repDirty  bool
 	repAcked  uint64
 
--- a/pkg/pool/eject.go
+++ b/pkg/pool/eject.go
@@ -40,7 +40,7 @@
 
 // holds reports whether some client may obey the ejection.
 func (e *ejection) holds(now fleet.Time) bool {
-	return e.phase != phaseEnded || now < e.since.Add(ejectionLease+leaseMargin)
+	return e.phase != phaseEnded || now < e.since.Add(ejectionLease+ejectionMargin)
 }
 
 // floorOf returns the pool's part of the service's floor, in servers.
--- a/pkg/pool/grant.go
+++ b/pkg/pool/grant.go
@@ -21,7 +21,7 @@
 
 // slots returns how many slots of the server may be lent now, apart from trials.
 func (c *coord) slots(now fleet.Time, r *row) int {
-	if !r.open(now) || r.co.ej != nil && r.co.ej.out() {
+	if !r.open(now) || r.co.ej != nil && r.co.ej.out() && c.obeys(now) {
 		return 0
 	}
 	n := c.pool.service.Slots
@@ -37,6 +37,12 @@
 	return n
 }
 
+// obeys reports whether the ejected set binds this member. The copy of a silent owner
+// forgets it as clients do: nobody guards the floor of a set that nobody changes.
+func (c *coord) obeys(now fleet.Time) bool {
+	return c.role != shard.RoleCopy || now < c.repHeard.Add(ejectionLease+ejectionMargin)
+}
+
 // longSlots returns how many of a server's slots long work may occupy.
 func (c *coord) longSlots(slots int) int {
 	if slots <= 1 {
--- a/pkg/pool/replica.go
+++ b/pkg/pool/replica.go
@@ -49,7 +49,7 @@
 	p.enter(now)
 	pl := p.shardPool(id)
 	pl.coord = newCoord(pl)
-	pl.coord.ejectAt = now.Add(ejectionLease + leaseMargin)
+	pl.coord.ejectAt = now.Add(ejectionLease + ejectionMargin)
 }
 
 // Changed takes up a new role or version.
@@ -121,7 +121,7 @@
 	if role != shard.RoleCopy || version != m.Version || !ok || view.Owner != from || m.Seq <= pl.coord.repSeq && pl.coord.version == m.Version {
 		return
 	}
-	pl.coord.repSeq = m.Seq
+	pl.coord.repSeq, pl.coord.repHeard = m.Seq, p.now
 	pl.coord.load(p.now, m.State)
 	p.send(from.VM, &ReplicateAck{Pool: m.Pool, Version: m.Version, Seq: m.Seq})
 }
