--- a/pkg/operator/backend.go
+++ b/pkg/operator/backend.go
@@ -181,7 +181,7 @@
 	Region  fleet.Region   `json:"region"`
 	Zone    fleet.Zone     `json:"zone"`
 	Listed  string         `json:"listed"` // live or leaving
-	State   string         `json:"state"`  // serving, ejected, trial, warming, draining, avoided
+	State   string         `json:"state"`  // serving, ejected or draining; empty: this VM does not use the pool
 	Reason  string         `json:"reason,omitempty"`
 	Slots   int            `json:"slots"`
 	Busy    int            `json:"busy"` // requests of this VM in flight
--- a/test/callers_test.go
+++ b/test/callers_test.go
@@ -84,6 +84,11 @@
 	return c.send(v, attempt{id: id, vm: v.id}, http.MethodGet, "/menu?for="+id, "")
 }
 
+// report sends an idempotent request whose work takes a time.
+func (c *callers) report(v *vm, work time.Duration) attempt {
+	return c.send(v, attempt{id: c.next(), vm: v.id}, http.MethodGet, "/report?work="+work.String(), "")
+}
+
 func (c *callers) send(v *vm, a attempt, method, path, body string) attempt {
 	a.digest = standin.Digest(method, path, []byte(body))
 	req, err := http.NewRequest(method, "http://"+v.callers+path, strings.NewReader(body))
--- a/test/config_help_test.go
+++ b/test/config_help_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/ed25519"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -34,6 +35,7 @@
 	"services": {"` + service + `": {"servers": %d, "slots": 6, "connections": 330, "floor": {"servers": %d},
 		"health_path": "/health", "echo_header": "X-Request-Id"}},
 	"routes": {
+		"report": {"path": "/report", "methods": ["GET"], "service": "` + service + `", "idempotent": true, "length": "long", "deadline": "5s"},
 		"menu": {"path": "/menu", "methods": ["GET"], "service": "` + service + `", "idempotent": true, "retries": 2, "deadline": "5s"},
 		"book": {"path": "/book", "methods": ["POST"], "service": "` + service + `", "key": "required", "weight": 5, "deadline": "2s"}
 	}
@@ -114,3 +116,8 @@
 		Edit: edit, Wait: operator.WaitApplied, Timeout: operator.Millis((patience - margin).Milliseconds()),
 	})
 }
+
+// addWorkspace returns a merge patch that adds a workspace.
+func addWorkspace(name string) string {
+	return fmt.Sprintf(`{"workspaces": {%q: {"home": %q}}}`, name, region)
+}
--- a/test/replace_test.go
+++ b/test/replace_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -35,6 +36,7 @@
 	balance := func(vms []*vm) { targets.Store(&vms) }
 	balance(f.running())
 	stop := c.load(t, func() []*vm { return *targets.Load() }, 12)
+	answered := 0
 	for i, old := range f.running() {
 		fresh := f.startVM(fmt.Sprintf("new-%d", i), old.zone)
 		eventually(t, fresh.id+" is ready", fresh.ready)
@@ -46,12 +48,24 @@
 			}
 			balance(slices.DeleteFunc(f.running(), func(v *vm) bool { return v == old }))
 		}()
+		const reports = 4
+		answers := make(chan attempt, reports)
+		for range reports { // in flight when the VM stops accepting
+			go func() { answers <- c.report(old, 3*drainDelay) }()
+		}
+		time.Sleep(drainDelay / 2)
 		require.Zero(t, f.terminate(old), "exit code of %s", old.id)
 		<-stopped
+		for range reports {
+			if a := <-answers; a.answered() {
+				answered++
+			}
+		}
 	}
 	stop()
 	f.awaitSettled()
 	f.awaitBookings(c)
 	require.Empty(t, c.having(attempt.cut), "requests that were cut")
+	require.Positive(t, answered, "no request was in flight at the end of a VM")
 	verify(t, f, c)
 }
