--- a/pkg/configlog/state_test.go
+++ b/pkg/configlog/state_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/platform"
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
 )
@@ -126,6 +127,33 @@
 	require.Equal(t, result.OK, feed(t, s, record(t, SignEdit(testStream, e, payKey))).Edit.Code)
 }
 
+// A late copy of an edit that was refused for its key must stay refused after the key
+// is added: its author was told that the edit has no effect.
+func TestEditRefusedForItsKeyStaysRefused(t *testing.T) {
+	s := startedState(t)
+	early := SignEdit(testStream, payEdit(t, s, "early", 1), strangerKey)
+	require.Equal(t, result.ConfigBadSignature, feed(t, s, record(t, early)).Edit.Code)
+	add := signed(t, s, "add", "ops", "fleet", opsKey, []byte(`{"teams":{"pay":{"keys":["`+keyText(payKey)+`","`+keyText(strangerKey)+`"]}}}`))
+	require.Equal(t, result.OK, feed(t, s, record(t, add)).Edit.Code)
+	require.Equal(t, result.ConfigBadSignature, feed(t, s, record(t, early)).Edit.Code)
+	again := early
+	again.ID = "again"
+	require.Equal(t, result.OK, feed(t, s, record(t, SignEdit(testStream, again, strangerKey))).Edit.Code)
+}
+
+// A VM that lags must not tell a final conflict on an edit that the log may accept.
+func TestLaggingVMLeavesTheVerdictToTheLog(t *testing.T) {
+	ahead := startedState(t)
+	feed(t, ahead, record(t, payEdit(t, ahead, "first", 1)))
+	next := payEdit(t, ahead, "second", 2)
+	n := New(Config{Stream: testStream, RootKey: ahead.RootKey(), Self: fleet.Member{VM: "late", Incarnation: 1}, Region: "north"})
+	n.state = startedState(t)
+	require.Equal(t, result.ConfigConflict, n.state.Check(next).Code, "the VM has not read the first edit")
+	require.Equal(t, result.OK, n.Publish(0, next).Code)
+	_, wanted := n.WantAppend(0)
+	require.True(t, wanted)
+}
+
 func TestOnlyFirstValidGenesisCounts(t *testing.T) {
 	s := NewState(testStream)
 	g, err := NewGenesis(testStream, testRoot(), rootKey)
--- a/pkg/pool/share_test.go
+++ b/pkg/pool/share_test.go
@@ -153,3 +153,21 @@
 	var e *result.Error
 	require.ErrorAs(t, s.vms[4].p.Import(id, []byte{0xc1}), &e)
 }
+
+// Guards against the copy of a silent owner withholding servers that no client obeys
+// an ejection of any more: leaves could then push the pool below its floor.
+func TestCopyOfSilentOwnerForgetsEjections(t *testing.T) {
+	s := newSim(t, 3, 8, 20, usualFloor, PolicyCredits)
+	s.rate = 2500
+	s.run(5 * time.Second)
+	srv := s.servers["s07"]
+	srv.fail = 1
+	s.run(5 * time.Second)
+	require.Equal(t, 1, s.count(EventEjected))
+	srv.fail = 0
+	s.vms[0].paused = true
+	s.run(ejectionLease + 2*time.Second)
+	srv.ordinary = nil
+	s.run(10 * time.Second)
+	require.NotEmpty(t, srv.ordinary, "the server gets no work from VMs that ask the copy")
+}
