--- a/pkg/configlog/large_test.go
+++ b/pkg/configlog/large_test.go
@@ -75,7 +75,7 @@
 func TestLargeSnapshot(t *testing.T) {
 	w := largeWorld(t, standin.LogControl{KeepRecords: 40}, "east", "east", "east")
 	listener := w.pick("east", false)
-	for i := 0; !listener.node.duty.known; i++ {
+	for i := 0; !listener.node.schedule.known; i++ {
 		require.Less(t, i, 60)
 		w.fill(1)
 	}
--- a/pkg/configlog/node.go
+++ b/pkg/configlog/node.go
@@ -93,7 +93,7 @@
 	reader   reader
 	relays   relays
 	transfer transfer
-	duty     duty
+	schedule snapshotSchedule
 	publish  publish
 	denied   bool
 	behind   bool
--- a/pkg/configlog/publish.go
+++ b/pkg/configlog/publish.go
@@ -226,7 +226,7 @@
 			n.settle(Verdict{ID: j.edit, Code: result.ConfigUnknown, Detail: "no verdict from the log in time"})
 		}
 		if j.snapshot {
-			n.duty.writing = nil
+			n.schedule.writing = nil
 		}
 		return true
 	}
--- a/pkg/configlog/reader.go
+++ b/pkg/configlog/reader.go
@@ -203,7 +203,7 @@
 	if !n.install(now, s, "snapshot "+one.header.ID) {
 		return false
 	}
-	n.duty.noteSnapshot(now, one)
+	n.schedule.noteSnapshot(now, one)
 	return true
 }
 
--- a/pkg/configlog/duty.go
+++ b/pkg/configlog/snapshot_schedule.go
@@ -18,8 +18,8 @@
 	snapshotGap = 30 * time.Second
 )
 
-// duty is a relay's duty to write snapshots before the log drops what they cover.
-type duty struct {
+// snapshotSchedule says when a relay writes snapshots, before the log drops what they cover.
+type snapshotSchedule struct {
 	known   bool            // a complete snapshot is known
 	covers  platform.Offset // of the last complete snapshot
 	first   platform.Offset // of its first part's record
@@ -40,13 +40,13 @@
 	next  int
 }
 
-func (d *duty) noteSnapshot(now fleet.Time, one *gathered) {
-	if d.known && one.header.Covers <= d.covers {
+func (s *snapshotSchedule) noteSnapshot(now fleet.Time, one *gathered) {
+	if s.known && one.header.Covers <= s.covers {
 		return
 	}
-	d.known, d.covers, d.first = true, one.header.Covers, one.first
-	d.at = now.Add(-time.Duration(one.age) * time.Millisecond)
-	d.due = false
+	s.known, s.covers, s.first = true, one.header.Covers, one.first
+	s.at = now.Add(-time.Duration(one.age) * time.Millisecond)
+	s.due = false
 }
 
 // onSnapshotPart notices complete snapshots and compares them with the own state.
@@ -59,14 +59,14 @@
 		return
 	}
 	if one := n.reader.collect.add(rec, p); one != nil {
-		n.duty.noteSnapshot(now, one)
+		n.schedule.noteSnapshot(now, one)
 	}
 }
 
 // SnapshotDue reports whether half of the retention has passed since the last
 // complete snapshot.
 func (n *Node) SnapshotDue(now fleet.Time) bool {
-	d, r := &n.duty, &n.reader
+	d, r := &n.schedule, &n.reader
 	if n.state.genesis == nil || n.denied || !n.fresh(now) || r.scanning || d.known && d.covers >= n.state.Next()-1 {
 		return false
 	}
@@ -80,7 +80,7 @@
 }
 
 func (n *Node) tickDuty(now fleet.Time) {
-	d := &n.duty
+	d := &n.schedule
 	if !d.started {
 		d.started, d.startAt = true, now
 	}
@@ -122,7 +122,7 @@
 }
 
 func (n *Node) startSnapshot(now fleet.Time) {
-	d := &n.duty
+	d := &n.schedule
 	d.wrote, d.wroteAt = true, now
 	data, err := n.state.Encode()
 	if err != nil {
@@ -144,7 +144,7 @@
 // writeParts appends one part after another. It stops when another snapshot that
 // covers as much is complete.
 func (n *Node) writeParts(now fleet.Time) {
-	d := &n.duty
+	d := &n.schedule
 	w := d.writing
 	if d.known && d.covers >= w.parts[0].Covers {
 		d.writing = nil
--- a/pkg/keys/member.go
+++ b/pkg/keys/member.go
@@ -160,7 +160,7 @@
 		} else if t.full(tombstoneBytes) {
 			return false
 		}
-		k.bury(now, t, e.Attempt)
+		k.noteReleased(now, t, e.Attempt)
 	case own && held.state != recordDone:
 		k.change(now, t, held, finalState(e.State), e.Answer)
 	case held == nil:
--- a/pkg/keys/table.go
+++ b/pkg/keys/table.go
@@ -135,7 +135,8 @@
 	k.track(t, r)
 }
 
-func (k *Keys) bury(now fleet.Time, t *table, a Attempt) {
+// noteReleased remembers a released attempt, so that a reserve that arrives later is refused.
+func (k *Keys) noteReleased(now fleet.Time, t *table, a Attempt) {
 	if _, known := t.released[a]; !known {
 		t.released[a] = now
 		t.bytes += tombstoneBytes
@@ -276,7 +277,7 @@
 		k.insert(t, &record{s.Scope, s.Attempt, s.Fingerprint, s.State, s.Answer, now.Add(-s.Age)})
 	}
 	for _, s := range saved.Released {
-		k.bury(now.Add(-s.Age), t, s.Attempt)
+		k.noteReleased(now.Add(-s.Age), t, s.Attempt)
 	}
 }
 
--- a/pkg/pool/client.go
+++ b/pkg/pool/client.go
@@ -160,7 +160,7 @@
 			return d, true
 		}
 	}
-	it := &item{work: w, pool: pl, route: r, since: now, class: class, long: r.long, picky: len(w.Exclude) > 0, index: -1}
+	it := &item{work: w, pool: pl, route: r, since: now, class: class, long: r.long, restricted: len(w.Exclude) > 0, index: -1}
 	it.expiry = it.waitsUntil(now)
 	c.admit(now, it)
 	c.needSlot(now)
@@ -340,7 +340,7 @@
 
 // pump starts queued work on free credits, the highest class first.
 func (c *client) pump(now fleet.Time) {
-	for len(c.queue.picky) > 0 && c.tryStart(now, c.queue.picky[0]) {
+	for len(c.queue.restricted) > 0 && c.tryStart(now, c.queue.restricted[0]) {
 	}
 	for c.queue.n > 0 && !c.pumpOne(now) {
 	}
@@ -370,7 +370,7 @@
 }
 
 func (c *client) tryStart(now fleet.Time, it *item) bool {
-	if it.picky && c.pool.check(now, &it.work, it.route) != result.OK {
+	if it.restricted && c.pool.check(now, &it.work, it.route) != result.OK {
 		c.queue.remove(it)
 		c.refuse(now, it, result.ServersDeclined)
 		return true
--- a/pkg/pool/durations.go
+++ b/pkg/pool/durations.go
@@ -17,7 +17,7 @@
 	learnSamples    = 20 // samples before a learned value is used
 	learnWindow     = 10 * time.Second
 	learnRefresh    = 500 * time.Millisecond
-	guessedDuration = 20 * time.Millisecond // before anything is learned
+	initialDuration = 20 * time.Millisecond // before anything is learned
 	slowFactor      = 3                     // times the median
 	longFactor      = 8                     // a learned-long route's median over that of the pool's fastest half
 	longAtLeast     = 100 * time.Millisecond
@@ -112,7 +112,7 @@
 	if s, ok := r.stat(); ok {
 		return us(s.Mean)
 	}
-	return guessedDuration
+	return initialDuration
 }
 
 func (r *route) p90() time.Duration {
--- a/pkg/pool/grant.go
+++ b/pkg/pool/grant.go
@@ -234,7 +234,7 @@
 		n += float64(s.Samples)
 	}
 	if n == 0 {
-		return guessedDuration
+		return initialDuration
 	}
 	return time.Duration(sum/n) * time.Microsecond
 }
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -18,15 +18,15 @@
 
 // item is queued work.
 type item struct {
-	work   Work
-	pool   *pool
-	route  *route
-	since  fleet.Time
-	expiry fleet.Time // when it is refused
-	class  int8
-	long   bool
-	index  int // in its heap; -1 when not queued
-	picky  bool
+	work       Work
+	pool       *pool
+	route      *route
+	since      fleet.Time
+	expiry     fleet.Time // when it is refused
+	class      int8
+	long       bool
+	index      int // in its heap; -1 when not queued
+	restricted bool
 }
 
 // itemHeap orders one class by deadline, then by age.
@@ -65,15 +65,15 @@
 // piece that finds no long slot does not block short work behind it. Work that
 // excludes servers is kept apart for the same reason.
 type queue struct {
-	heaps [classes][2]itemHeap
-	picky itemHeap
-	n     int
-	top   int // no work above this class
+	heaps      [classes][2]itemHeap
+	restricted itemHeap
+	n          int
+	top        int // no work above this class
 }
 
 func (q *queue) heapOf(it *item) *itemHeap {
-	if it.picky {
-		return &q.picky
+	if it.restricted {
+		return &q.restricted
 	}
 	if it.long {
 		return &q.heaps[it.class][1]
@@ -102,8 +102,8 @@
 			}
 		}
 	}
-	if len(q.picky) > 0 {
-		return q.picky[0]
+	if len(q.restricted) > 0 {
+		return q.restricted[0]
 	}
 	return nil
 }
@@ -131,7 +131,7 @@
 		count[c] = len(q.heaps[c][0]) + len(q.heaps[c][1])
 		long[c] = len(q.heaps[c][1])
 	}
-	for _, it := range q.picky {
+	for _, it := range q.restricted {
 		count[it.class]++
 		if it.long {
 			long[it.class]++
@@ -177,7 +177,7 @@
 			c.expireHeap(now, &c.queue.heaps[cl][k])
 		}
 	}
-	c.expireHeap(now, &c.queue.picky)
+	c.expireHeap(now, &c.queue.restricted)
 }
 
 // waitsUntil returns the end of a wait that counts from a time. Work that could not
--- a/pkg/shard/claim.go
+++ b/pkg/shard/claim.go
@@ -45,16 +45,16 @@
 		return
 	}
 	if m.alive(r, r.known.Owner) {
-		r.orphanAt = 0
+		r.unownedSince = 0
 		return
 	}
 	m.query(now, r)
 	if m.alive(r, r.known.Copy) {
-		r.orphanAt = 0
+		r.unownedSince = 0
 		return
 	}
-	if r.orphanAt == 0 {
-		r.orphanAt = now
+	if r.unownedSince == 0 {
+		r.unownedSince = now
 	}
 	if r.claim == nil && !m.startClaim(now, r) {
 		return
@@ -102,7 +102,7 @@
 		return false
 	}
 	rank := m.claimRank(r)
-	if rank < 0 || now.Sub(r.orphanAt) < time.Duration(rank)*m.cfg.ClaimStep {
+	if rank < 0 || now.Sub(r.unownedSince) < time.Duration(rank)*m.cfg.ClaimStep {
 		return false
 	}
 	r.attempts++
@@ -166,7 +166,7 @@
 		}
 	}
 	r.claim = nil
-	r.orphanAt = now
+	r.unownedSince = now
 	if r.promise == m.cfg.Self {
 		r.promise = fleet.Member{}
 	}
--- a/pkg/shard/manager.go
+++ b/pkg/shard/manager.go
@@ -88,7 +88,7 @@
 
 	claim          *claim
 	attempts       uint64
-	orphanAt       fleet.Time     // since when no member is known; zero if one is
+	unownedSince   fleet.Time     // since when no member is known; zero if one is
 	left           []fleet.Member // members of known that said that they hold it no more
 	promise        fleet.Member
 	promiseAttempt uint64
