--- a/pkg/document/document_test.go
+++ b/pkg/document/document_test.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"maps"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -290,3 +291,20 @@
 		require.Equal(t, a, b)
 	}
 }
+
+// The examples that operators copy must be valid.
+func TestExamplesAreValid(t *testing.T) {
+	read := func(name string) []byte {
+		data, err := os.ReadFile("../../docs/examples/" + name)
+		require.NoError(t, err)
+		standard, err := Standardize(data)
+		require.NoError(t, err)
+		return standard
+	}
+	root, err := ParseRoot(read("root.jsonc"))
+	require.NoError(t, err)
+	payments, err := ParseSection("payments", read("payments.jsonc"))
+	require.NoError(t, err)
+	doc := &Document{Format: Format, Root: root, Sections: map[string]Section{"payments": payments}}
+	require.Empty(t, Validate(doc))
+}
