--- a/pkg/pool/budget.go
+++ b/pkg/pool/budget.go
@@ -11,7 +11,7 @@
 // Retry budget of a client for one service.
 const (
 	retryShare       = 0.1             // repeats per first try
-	retryFloor       = 1.0             // repeats per second while the pool is not failing
+	retryFloor       = 0.1             // repeats per second while the pool is not failing; with 44 VMs this adds up
 	retryMemory      = 5 * time.Second // the budget holds at most the share of this time's first tries
 	poolFailingShare = 0.5             // share of failed attempts above which repeats cannot help
 	poolFailingLeast = 5               // attempts before the pool can count as failing
