--- a/pkg/pool/clientcredits.go
+++ b/pkg/pool/clientcredits.go
@@ -11,7 +11,7 @@
 	awayEvery   = 400 * time.Millisecond // to a lost owner
 	queueEvery  = 20 * time.Millisecond  // while work waits
 	routesEvery = time.Second
-	idleEvery   = 10 * time.Millisecond // when clearly more credits lie idle than reported
+	idleEvery   = 40 * time.Millisecond // when clearly more credits lie idle than reported
 	idleNews    = 2
 	fewQueued   = 8                // queued work that is worth a sync per round trip
 	remoteFor   = 5 * time.Second  // a remote pool is synced this long after work
