--- a/pkg/proxy/answer.go
+++ b/pkg/proxy/answer.go
@@ -130,7 +130,7 @@
 func (x *exchange) answer(out *outcome, done func(*keys.Answer)) {
 	if out.ans == nil {
 		if out.code.Info().Outcome == result.OutcomeUnknown {
-			x.p.engine.Record(fleet.Event{Kind: "request-unknown", Service: x.route.Route.Service, Request: x.id,
+			x.p.engine.Record(fleet.Event{Kind: eventUnknown, Service: x.route.Route.Service, Request: x.id,
 				Reason: out.code.String(), Detail: map[string]string{"detail": out.detail}})
 		}
 		x.fail(out.code, out.detail)
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -81,6 +81,8 @@
 			return best
 		}
 		tried = append(tried, d.Server.ID)
+		x.p.engine.Record(fleet.Event{Kind: eventRetry, Service: x.route.Route.Service, Server: d.Server.ID, Request: x.id,
+			Reason: out.code.String(), Detail: map[string]string{"detail": out.detail}})
 	}
 }
 
@@ -307,7 +309,7 @@
 
 func (x *exchange) crossed(why string) *outcome {
 	x.p.metrics.stale.Inc()
-	x.p.engine.Record(fleet.Event{Kind: "answer-crossed", Service: x.route.Route.Service, Request: x.id, Reason: why})
+	x.p.engine.Record(fleet.Event{Kind: eventCrossed, Service: x.route.Route.Service, Request: x.id, Reason: why})
 	return failed(result.AnswerCrossed, pool.EndFailed, "%s", why).retryable()
 }
 
--- a/pkg/proxy/engine.go
+++ b/pkg/proxy/engine.go
@@ -11,6 +11,13 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
 )
 
+// Kinds of events about one request.
+const (
+	eventUnknown fleet.EventKind = "request_unknown" // the caller was told "unknown"
+	eventCrossed fleet.EventKind = "answer_crossed"  // an answer that is not this request's was refused
+	eventRetry   fleet.EventKind = "request_retried" // an attempt at a server failed and is repeated elsewhere
+)
+
 // Engine decides about requests. All methods are safe for concurrent use. Package
 // node implements it over the deterministic core.
 type Engine interface {
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -50,13 +50,18 @@
 	byKey    map[string]keys.Decision
 	draining atomic.Bool
 	ids      atomic.Uint64
+	events   []fleet.Event // guarded by mu
 }
 
 func (e *fakeEngine) Now() fleet.Time         { return fleet.Time(time.Since(e.origin)) }
 func (e *fakeEngine) Routes() *document.Index { return nil }
 func (e *fakeEngine) NextWork() pool.WorkID   { return pool.WorkID(e.ids.Add(1)) }
-func (e *fakeEngine) Record(fleet.Event)      {}
-func (e *fakeEngine) Draining() bool          { return e.draining.Load() }
+func (e *fakeEngine) Record(event fleet.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.events = append(e.events, event)
+}
+func (e *fakeEngine) Draining() bool { return e.draining.Load() }
 
 func (e *fakeEngine) Acquire(ctx context.Context, w pool.Work) pool.Decision {
 	e.mu.Lock()
--- a/pkg/proxy/outcome_test.go
+++ b/pkg/proxy/outcome_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/faultproxy"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/keys"
 	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
@@ -120,6 +122,8 @@
 		require.Equal(t, 200, a.status, "%s: %s", f, a.body)
 		require.Equal(t, "s1", a.header.Get(standin.HeaderServer))
 		require.True(t, r.engine.works[len(r.engine.works)-1].IsRetry)
+		recorded := slices.IndexFunc(r.engine.events, func(e fleet.Event) bool { return e.Kind == eventRetry && e.Request == a.id })
+		require.GreaterOrEqual(t, recorded, 0, "operators cannot see the repeat")
 
 		// Without budget the first outcome stands.
 		a = r.get("/menu")
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -55,3 +55,23 @@
 		}
 	})
 }
+
+func BenchmarkEncode(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Encode(&sample{"ticket-desk", 1 << 40}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	frame, err := Encode(&sample{"ticket-desk", 1 << 40})
+	require.NoError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Decode(frame); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
