--- a/cmd/fulmarbeam/commands.go
+++ b/cmd/fulmarbeam/commands.go
@@ -43,7 +43,7 @@
 		Args:          cobra.NoArgs,
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	root.AddCommand(newRun(), newCheck(), newDemo(), newVersion())
+	root.AddCommand(newRun(), newServe(), newCheck(), newDemo(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/cmd/fulmarbeam/serve.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"log"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/gateway"
+	"github.com/fulmarbeam/fulmarbeam/pkg/proxy"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+	"github.com/fulmarbeam/fulmarbeam/pkg/settings"
+	"github.com/fulmarbeam/fulmarbeam/pkg/telemetry"
+	"github.com/fulmarbeam/fulmarbeam/platform"
+)
+
+// settingsVariable names the settings file when no flag does.
+const settingsVariable = "FULMARBEAM_SETTINGS"
+
+func newServe() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:     "serve",
+		Short:   "Run an entry VM on a platform with a store until SIGTERM",
+		Example: "  fulmarbeam serve --settings /etc/fulmarbeam/gateway.jsonc",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if file == "" {
+				return result.Errorf(result.UsageError, "name the settings file with --settings or in %s", settingsVariable)
+			}
+			return runGateway(cmd.Context(), file)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "settings file (JSON with comments); default from "+settingsVariable)
+	return cmd
+}
+
+func runGateway(ctx context.Context, file string) error {
+	s, err := settings.LoadGateway(file)
+	if err != nil {
+		return err
+	}
+	logger, err := telemetry.NewLogger(os.Stdout, s.Log.Level, s.Log.Format)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	// net/http reports unsolicited bytes of servers to the standard logger.
+	log.SetOutput(proxy.StandardLog(logger))
+	set := telemetry.NewMetrics()
+	g, err := gateway.New(gateway.Config{
+		Settings: s, Source: platform.NewStore(s.Store.Address, s.Zones, gateway.StoreMeter(set, logger)),
+		Dialect: platform.Dialect(), ReadyPath: platform.ReadyPath,
+		Logger: logger, Metrics: set, Seed: uint64(time.Now().UnixNano()),
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	signal.Ignore(syscall.SIGPIPE)
+	return errors.Trace(g.Run(ctx))
+}
--- /dev/null
+++ b/pkg/balance/choose.go
@@ -0,0 +1,206 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+)
+
+// Weights of the choice, in units of a served request.
+const (
+	repeatCost  = 0.35 // of a failure that can be repeated elsewhere, over one that cannot
+	lateCost    = 0.85 // of an answer after the latency objective
+	loadCost    = 0.06 // of a server with all slots taken, below the cost of waiting
+	noise       = 0.01 // spreads equal servers
+	coldPace    = 2.0  // pace of a server that is warming up
+	cutBelief   = 0.95 // of a server that this VM cannot connect to
+	suspectFrom = 0.3  // belief from which a server is a suspect
+)
+
+// Trials of suspects and of servers that were not used for a while.
+const (
+	trialGap   = 500 * time.Millisecond // between two trials of a suspect by this VM
+	unusedGap  = 1 * time.Second        // after which a healthy server is tried again
+	trialLeft  = 2                      // repeats that must be left in the budget
+	trialTimes = 3                      // the time left must be this many times the work's
+)
+
+// Refusals.
+const (
+	fullFor     = 200 * time.Millisecond // a server that shed is taken for full this long
+	noServerFor = 300 * time.Millisecond // advice when a service has no server
+	minRetry    = 50 * time.Millisecond
+)
+
+// waitShare is the part of the time left that a request may wait in a server's queue,
+// by its priority; less urgent requests are refused earlier.
+var waitShare = [...]float64{0.9, 0.75, 0.6}
+
+// golden spreads consecutive requests of a route evenly over its backends.
+const golden = 0.6180339887498949
+
+// Split chooses one of the route's backends by their weights.
+func (b *Balancer) Split(m document.RouteMatch) fleet.Service {
+	r := b.route(m.Name)
+	r.split = math.Mod(r.split+golden, 1)
+	return m.Split(r.split)
+}
+
+// MayRetry takes one repeat of the service's budget if it has one.
+func (b *Balancer) MayRetry(now fleet.Time, name fleet.Service) bool {
+	if b.service(name).repeats.take(now, b.cfg.Budget, b.vms) {
+		return true
+	}
+	b.event(fleet.Event{Kind: "budget_spent", Service: name, Reason: "no repeat left"})
+	return false
+}
+
+// offer is a server with what a request would meet there.
+type offer struct {
+	s    *server
+	risk float64       // probability that the server fails the request
+	wait time.Duration // in the server's queue
+	took time.Duration // at the server, after the wait
+	cost float64
+}
+
+// Choose picks a server, or refuses.
+func (b *Balancer) Choose(now fleet.Time, w pool.Work) pool.Decision {
+	svc := b.service(w.Service)
+	if !w.IsRetry && len(w.Exclude) == 0 {
+		svc.repeats.request(now, b.cfg.Budget)
+	}
+	left := w.Deadline.Sub(now)
+	offers := b.offers(now, svc, w)
+	if len(offers) == 0 {
+		return pool.Decision{Work: w.ID, Code: result.NoServer, Retry: noServerFor}
+	}
+	best := &offers[0]
+	for i := range offers {
+		if offers[i].cost < best.cost {
+			best = &offers[i]
+		}
+	}
+	trial := b.trial(now, svc, w, offers, best)
+	if trial != nil {
+		best = trial
+		best.s.tried = now
+	}
+	share := waitShare[min(max(w.Priority, 0), len(waitShare)-1)]
+	if room := time.Duration(share * float64(left)); best.wait+best.took/2 > room {
+		return pool.Decision{Work: w.ID, Code: result.NoCapacity, Retry: max(best.wait/2, minRetry)}
+	}
+	b.start(now, w, best.s)
+	return pool.Decision{Work: w.ID, Server: best.s.entry.Server, Trial: trial != nil}
+}
+
+func (b *Balancer) offers(now fleet.Time, svc *service, w pool.Work) []offer {
+	r := b.route(w.Route)
+	out := make([]offer, 0, len(svc.servers))
+	for id, s := range svc.servers {
+		if s.entry.Server.State != fleet.StateLive || now < s.leftUntil || slices.Contains(w.Exclude, id) {
+			continue
+		}
+		out = append(out, b.offer(now, s, r, w))
+	}
+	// The order of a map must not decide.
+	slices.SortFunc(out, func(x, y offer) int {
+		if x.s.entry.Server.ID < y.s.entry.Server.ID {
+			return -1
+		}
+		return 1
+	})
+	for i := range out {
+		out[i].cost += noise * b.rng.float()
+	}
+	return out
+}
+
+func (b *Balancer) offer(now fleet.Time, s *server, r *route, w pool.Work) offer {
+	o := offer{s: s, risk: s.health.now(now)}
+	if now < s.cutUntil {
+		o.risk = max(o.risk, cutBelief)
+	}
+	slots := float64(max(s.entry.Slots, 1))
+	load := float64(s.load())
+	if now < s.fullUntil {
+		load = max(load, slots+1)
+	}
+	pace := s.paceNow(now)
+	if now < s.warmUntil {
+		pace = max(pace, coldPace)
+	}
+	o.took = time.Duration(pace * float64(r.time()))
+	o.wait = time.Duration(max(0, load+1-slots) / slots * float64(o.took))
+	failure := o.risk
+	if w.Idempotent && w.Repeats > 0 {
+		failure *= repeatCost
+	}
+	o.cost = failure + lateCost*lateness(o.wait+o.took, w.Objective) + loadCost*load/slots + b.price(s, r, w)
+	return o
+}
+
+// lateness grows from 0 to 1 as the expected time passes the objective.
+func lateness(expected, objective time.Duration) float64 {
+	if objective <= 0 {
+		return 1
+	}
+	x := float64(expected)/float64(objective) - 0.6
+	return min(max(x, 0), 1)
+}
+
+func (b *Balancer) price(s *server, r *route, w pool.Work) float64 {
+	kb := float64(w.Bytes)/1024 + r.bytes.mean
+	switch s.distance {
+	case inRegion:
+		return kb * b.cfg.Prices.ZonePerKB
+	case otherRegion:
+		return kb * b.cfg.Prices.RegionPerKB
+	}
+	return 0
+}
+
+// trial returns a server that is worth trying with a request that can be repeated: a
+// suspect that nobody tries now, or one that was not used for a while.
+func (b *Balancer) trial(now fleet.Time, svc *service, w pool.Work, offers []offer, best *offer) *offer {
+	if !w.Idempotent || w.Repeats < 1 || w.IsRetry || w.Deadline.Sub(now) < trialTimes*best.took {
+		return nil
+	}
+	if svc.repeats.left(now, b.cfg.Budget, b.vms) < trialLeft {
+		return nil
+	}
+	var found *offer
+	for i := range offers {
+		o := &offers[i]
+		if o.s.distance > best.s.distance || o.s == best.s || !b.triable(now, o) {
+			continue
+		}
+		if found == nil || o.risk < found.risk {
+			found = o
+		}
+	}
+	return found
+}
+
+func (b *Balancer) triable(now fleet.Time, o *offer) bool {
+	s := o.s
+	if s.load() > 0 || now < s.cutUntil || now < s.fullUntil {
+		return false
+	}
+	if o.risk < suspectFrom {
+		return now.Sub(s.used) >= unusedGap
+	}
+	return now.Sub(s.tried) >= trialGap && now.Sub(s.used) >= trialGap
+}
+
+func (b *Balancer) start(now fleet.Time, w pool.Work, s *server) {
+	s.local++
+	s.used = now
+	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, at: now}
+	b.zone.touch(now)
+}
--- a/pkg/document/defaults.go
+++ b/pkg/document/defaults.go
@@ -49,7 +49,9 @@
 	if r.Deadline == 0 {
 		r.Deadline = DefaultDeadline
 	}
-	if r.Retries == 0 && r.Idempotent {
+	if r.Attempts > 0 {
+		r.Retries = r.Attempts - 1
+	} else if r.Retries == 0 && r.Idempotent {
 		r.Retries = DefaultRetries
 	}
 	if r.MaxBody == 0 {
--- a/pkg/document/index.go
+++ b/pkg/document/index.go
@@ -130,30 +130,37 @@
 			end = strings.LastIndexByte(path[:end], '/')
 		}
 	}
-	for end > 0 {
-		if byMethod := h.paths[path[:end]]; byMethod != nil {
-			pathFound = true
-			if m := byMethod[method]; m != nil {
-				return m, true
-			}
-			if m := byMethod[anyMethod]; m != nil {
+	for end >= 0 {
+		// A prefix that ends with a slash is longer than the same one without it.
+		if end < len(path) && path[end] == '/' {
+			if m, found := pick(h.paths[path[:end+1]], method); m != nil {
 				return m, true
+			} else if found {
+				pathFound = true
 			}
 		}
-		end = strings.LastIndexByte(path[:end], '/')
-	}
-	if byMethod := h.paths["/"]; byMethod != nil && strings.HasPrefix(path, "/") {
-		pathFound = true
-		if m := byMethod[method]; m != nil {
-			return m, true
+		if end == 0 {
+			break
 		}
-		if m := byMethod[anyMethod]; m != nil {
+		if m, found := pick(h.paths[path[:end]], method); m != nil {
 			return m, true
+		} else if found {
+			pathFound = true
 		}
+		end = strings.LastIndexByte(path[:end], '/')
 	}
 	return nil, pathFound
 }
 
+// pick returns the route for the method among those of one path, and whether the
+// path has any.
+func pick(byMethod map[string]*RouteMatch, method string) (m *RouteMatch, found bool) {
+	if m := byMethod[method]; m != nil {
+		return m, true
+	}
+	return byMethod[anyMethod], byMethod != nil
+}
+
 // hasDotSegment reports a segment "." or "..", also with its dots escaped.
 func hasDotSegment(path string) bool {
 	if !strings.Contains(path, "/.") && !strings.Contains(path, "%2") {
@@ -180,6 +187,25 @@
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
+// Split returns the backend on which u, from 0 to 1, falls when the backends are
+// laid out by their weights. Without backends it returns the route's service.
+func (m RouteMatch) Split(u float64) fleet.Service {
+	total := 0.0
+	for _, b := range m.Route.Backends {
+		total += b.Weight
+	}
+	at := u * total
+	for _, b := range m.Route.Backends {
+		if at -= b.Weight; at < 0 {
+			return b.Service
+		}
+	}
+	if n := len(m.Route.Backends); n > 0 {
+		return m.Route.Backends[n-1].Service
+	}
+	return m.Route.Service
+}
+
 // Root returns the fleet-wide settings with their defaults.
 func (x *Index) Root() Root { return x.root }
 
--- a/pkg/document/types.go
+++ b/pkg/document/types.go
@@ -21,6 +21,14 @@
 	Format   int                `json:"format"`
 	Root     Root               `json:"fleet"`
 	Sections map[string]Section `json:"sections"`
+	Callers  Callers            `json:"callers,omitzero"`
+}
+
+// Callers bounds what callers may send. Zero fields leave the bound to the settings.
+type Callers struct {
+	MaxHeader     int      `json:"max_header,omitempty"`     // bytes of a request's header
+	HeaderTimeout Duration `json:"header_timeout,omitempty"` // from the first to the last byte of a header
+	IdleTimeout   Duration `json:"idle_timeout,omitempty"`   // of a connection between two requests
 }
 
 // Root is the content of the section "fleet".
@@ -90,16 +98,26 @@
 	Path            string        `json:"path"`            // prefix on path-segment boundaries
 	Methods         []string      `json:"methods,omitempty"`
 	Service         fleet.Service `json:"service"`
+	Backends        []Backend     `json:"backends,omitempty"` // splits requests over services; replaces Service
 	Length          Length        `json:"length,omitempty"`
 	Idempotent      bool          `json:"idempotent,omitempty"`
 	Key             KeyRule       `json:"key,omitempty"`
 	Weight          float64       `json:"weight,omitempty"` // default 1
 	Deadline        Duration      `json:"deadline,omitempty"`
+	Objective       Duration      `json:"objective,omitempty"` // latency objective; 0 means none
+	Priority        int           `json:"priority,omitempty"`  // 0 is the most urgent
 	Retries         int           `json:"retries,omitempty"`
+	Attempts        int           `json:"attempts,omitempty"` // servers that one request may be sent to; replaces Retries when set
 	MaxBody         int64         `json:"max_body,omitempty"` // bytes
 	WorkspaceHeader string        `json:"workspace_header,omitempty"`
 }
 
+// Backend is one part of a route that splits its requests over several services.
+type Backend struct {
+	Service fleet.Service `json:"service"`
+	Weight  float64       `json:"weight"`
+}
+
 // Workspace is a customer: its home region keeps its idempotency keys.
 type Workspace struct {
 	Home   fleet.Region `json:"home"`
--- /dev/null
+++ b/pkg/gateway/flush.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/balance"
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/follower"
+	"github.com/fulmarbeam/fulmarbeam/pkg/mesh"
+	"github.com/fulmarbeam/fulmarbeam/pkg/registry"
+)
+
+// searchInterval is the pause between two look-ups of addresses in the store by a VM
+// that found no other VM.
+const searchInterval = 2 * time.Second
+
+// flush passes on what the deterministic state produced. The caller holds the lock.
+func (g *Gateway) flush(now fleet.Time) {
+	g.balance.Apply(now, g.follower.Changes())
+	if d := g.follower.NewDocument(); d != nil {
+		g.index.Store(document.NewIndex(d.Doc, d.Revision))
+		g.log.Info("configuration applied", "revision", d.Revision, "routes", countRoutes(d.Doc))
+	}
+	g.send(now)
+	g.startCalls(now)
+	if !g.serving.Load() && g.follower.Ready() {
+		g.serving.Store(true)
+		g.log.Info("ready", "servers", len(g.follower.Entries()), "after_ms", time.Duration(now).Milliseconds())
+	}
+	g.logEvents(now)
+}
+
+func countRoutes(d *document.Document) int {
+	n := 0
+	for _, s := range d.Sections {
+		n += len(s.Routes)
+	}
+	return n
+}
+
+// send sends reports and beacons that are due.
+func (g *Gateway) send(now fleet.Time) {
+	zoneReport, regionReport := g.balance.Reports(now)
+	beacons := g.follower.Beacons()
+	if zoneReport == nil && regionReport == nil && len(beacons) == 0 {
+		return
+	}
+	zone, region := g.members.Peers(now)
+	g.sendReport(zoneReport, zone)
+	g.sendReport(regionReport, region)
+	for _, b := range beacons {
+		m := &mesh.Beacon{From: g.self.ID, Beacon: b}
+		g.mesh.Send(m, zone...)
+		g.mesh.Send(m, region...)
+	}
+}
+
+func (g *Gateway) sendReport(r *balance.Report, to []string) {
+	if r != nil {
+		g.mesh.Send(&mesh.Report{From: g.self.ID, Report: *r}, to...)
+	}
+}
+
+// startCalls starts the calls to the store and to other VMs that are due.
+func (g *Gateway) startCalls(now fleet.Time) {
+	if g.draining.Load() {
+		return
+	}
+	if from, want := g.follower.WantServers(now); want {
+		go g.readServers(from)
+	}
+	if from, wait, want := g.follower.WantDocument(now); want {
+		go g.readDocument(from, wait)
+	}
+	if vm, want := g.follower.WantCopy(now); want {
+		addr, _ := g.members.Addr(vm)
+		go g.fetchCopy(vm, addr)
+	}
+	if g.follower.Reading() && !g.announced && !g.announcing {
+		g.announcing = true
+		go g.announce()
+	}
+	if !g.follower.Reading() {
+		g.announced = false
+	}
+	if g.members.Lonely(now) && !g.searching && now.Sub(g.searchedAt) > searchInterval {
+		g.searching, g.searchedAt = true, now
+		go g.search()
+	}
+}
+
+func (g *Gateway) readServers(from int64) {
+	batch, err := g.cfg.Source.Servers(g.ctx, from)
+	g.do(func(now fleet.Time) { g.follower.ServersRead(now, batch, err) })
+}
+
+func (g *Gateway) readDocument(from int64, wait time.Duration) {
+	batch, err := g.cfg.Source.Documents(g.ctx, from, wait)
+	g.do(func(now fleet.Time) { g.follower.DocumentRead(now, batch, err) })
+}
+
+func (g *Gateway) fetchCopy(vm fleet.VMID, addr string) {
+	var c *follower.Copy
+	var decoded *registry.Document
+	err := errors.NotFoundf("address of VM %s", vm)
+	if addr != "" {
+		c, err = g.mesh.FetchCopy(g.ctx, g.self.ID, addr)
+	}
+	if err == nil {
+		decoded, err = g.cfg.Source.Decode(c.Raw)
+	}
+	g.do(func(now fleet.Time) { g.follower.Copied(now, vm, c, decoded, err) })
+}
+
+// announce stores this VM's address as its region's reader.
+func (g *Gateway) announce() {
+	err := g.cfg.Source.Announce(g.ctx, string(g.self.Region), g.self.Addr)
+	if err != nil {
+		g.log.Info("address not announced", "error", err.Error())
+	}
+	g.do(func(fleet.Time) { g.announcing, g.announced = false, true })
+}
+
+// search looks other VMs up in the store.
+func (g *Gateway) search() {
+	ctx, cancel := context.WithTimeout(g.ctx, searchInterval)
+	defer cancel()
+	found, err := g.cfg.Source.Announced(ctx)
+	if err != nil {
+		g.log.Info("no addresses of other VMs from the store", "error", err.Error())
+	}
+	g.do(func(fleet.Time) {
+		g.searching = false
+		for _, addr := range found {
+			if addr != g.self.Addr {
+				g.members.AddSeeds([]string{addr})
+			}
+		}
+	})
+}
+
+// greet sends the greetings that are due and keeps what depends on the members.
+func (g *Gateway) greet(now fleet.Time) {
+	if greetings := g.members.Greetings(now); len(greetings) > 0 && !g.draining.Load() {
+		g.mesh.Send(&mesh.Hello{Self: g.self}, greetings...)
+	}
+	g.follower.SetRank(g.members.Rank(now, g.self.ID))
+	g.balance.SetVMs(g.members.Fleet())
+}
+
+// Datagram takes a message of another VM.
+func (g *Gateway) Datagram(from netip.AddrPort, m fleet.Message) {
+	g.do(func(now fleet.Time) {
+		switch m := m.(type) {
+		case *mesh.Hello:
+			g.members.Learn(now, m.Self, true)
+			list, known := g.members.Listed(now, m.Self.Region)
+			g.mesh.Send(&mesh.Welcome{Self: g.self, Members: list, Fleet: known, Ready: g.follower.Ready()}, from.String())
+		case *mesh.Welcome:
+			g.welcome(now, m)
+		case *mesh.Report:
+			g.members.Hear(now, m.From)
+			g.balance.StepReport(now, m.From, m.Report)
+		case *mesh.Beacon:
+			g.members.Hear(now, m.From)
+			g.follower.StepBeacon(now, m.From, g.members.Rank(now, m.From), m.Beacon)
+		}
+	})
+}
+
+func (g *Gateway) welcome(now fleet.Time, m *mesh.Welcome) {
+	for _, other := range m.Members {
+		g.members.Learn(now, other, false)
+	}
+	g.members.Learn(now, m.Self, true)
+	g.members.SetFleet(m.Fleet)
+	if m.Ready {
+		g.follower.Offer(now, m.Self.ID)
+	}
+}
+
+// GiveCopy returns this VM's copy for another VM, or nil without one.
+func (g *Gateway) GiveCopy() *follower.Copy {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.follower.Copy()
+}
+
+// logEvents logs what changed in the deterministic state.
+func (g *Gateway) logEvents(now fleet.Time) {
+	for _, e := range g.follower.Events() {
+		g.Record(e)
+	}
+	for _, e := range g.members.Events(now) {
+		g.Record(e)
+	}
+	for _, e := range g.balance.Events() {
+		g.Record(e)
+	}
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,234 @@
+// Package gateway runs an entry VM on a platform with a store: it gives the
+// deterministic packages balance, follower and mesh their clock, sockets and store,
+// and serves callers through package proxy.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/balance"
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/follower"
+	"github.com/fulmarbeam/fulmarbeam/pkg/mesh"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+	"github.com/fulmarbeam/fulmarbeam/pkg/proxy"
+	"github.com/fulmarbeam/fulmarbeam/pkg/registry"
+	"github.com/fulmarbeam/fulmarbeam/pkg/settings"
+	"github.com/fulmarbeam/fulmarbeam/pkg/telemetry"
+)
+
+// Limits towards callers and servers beyond those of the settings.
+const (
+	callerKeepAlive = 75 * time.Second       // idle connection of a caller
+	serverKeepAlive = 4 * time.Second        // idle connection to a server
+	connectTime     = 300 * time.Millisecond // TCP connect to a server
+	sendTimeout     = 1500 * time.Millisecond
+	connsPerServer  = 64
+	unsentAttempts  = 3
+	tickInterval    = 10 * time.Millisecond
+)
+
+// Config describes the process. Settings, Source and Dialect are required.
+type Config struct {
+	Settings  *settings.Gateway
+	Source    registry.Source
+	Dialect   *proxy.Dialect
+	ReadyPath string // where the platform asks whether the VM takes requests
+	Logger    logr.Logger
+	Metrics   *metrics.Set
+	Seed      uint64
+}
+
+// Gateway is a running entry VM.
+type Gateway struct {
+	cfg     Config
+	self    mesh.Member
+	log     logr.Logger
+	origin  time.Time
+	proxy   *proxy.Proxy
+	mesh    *mesh.Transport
+	tracing *telemetry.Tracing
+
+	callers listener
+	ready   listener
+	meters  listener
+
+	index    atomic.Pointer[document.Index]
+	draining atomic.Bool
+	serving  atomic.Bool
+	nextWork atomic.Uint64
+	stop     context.CancelFunc
+	ctx      context.Context
+
+	mu         sync.Mutex // guards the fields below
+	balance    *balance.Balancer
+	follower   *follower.Follower
+	members    *mesh.Members
+	announced  bool
+	announcing bool
+	searching  bool
+	searchedAt fleet.Time
+}
+
+type listener struct {
+	net.Listener
+	server *http.Server
+}
+
+// New binds the listeners. Run starts the VM.
+func New(cfg Config) (*Gateway, error) {
+	s := cfg.Settings
+	g := &Gateway{
+		cfg: cfg, log: cfg.Logger, origin: time.Now(),
+		self: mesh.Member{ID: fleet.VMID(s.VM.ID), Addr: s.Listen.Links, Region: fleet.Region(s.VM.Region), Zone: fleet.Zone(s.VM.Zone)},
+	}
+	g.ctx, g.stop = context.WithCancel(context.Background())
+	g.balance = balance.New(balance.Config{
+		Self: g.self.ID, Region: g.self.Region, Zone: g.self.Zone, Seed: cfg.Seed,
+		Prices: balance.Prices{ZonePerKB: s.Prices.ZonePerKB, RegionPerKB: s.Prices.RegionPerKB},
+		Budget: balance.Budget{Ratio: s.Repeats.Ratio, Window: s.Repeats.Window.D(), Slack: s.Repeats.Slack},
+	})
+	g.follower = follower.New(follower.Config{Self: g.self.ID})
+	g.members = mesh.NewMembers(g.self, seedAddresses(s))
+	if err := g.bind(); err != nil {
+		g.Close()
+		return nil, err
+	}
+	return g, nil
+}
+
+// seedAddresses returns the links of the seeds: ports are the same on all VMs.
+func seedAddresses(s *settings.Gateway) []string {
+	own, err := netip.ParseAddrPort(s.Listen.Links)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, seed := range s.Seeds {
+		if addr, err := settings.SeedAddr(seed); err == nil {
+			out = append(out, netip.AddrPortFrom(addr, own.Port()).String())
+		}
+	}
+	return out
+}
+
+func (g *Gateway) bind() error {
+	s := g.cfg.Settings
+	tracing, err := telemetry.NewTracing(context.Background(), telemetry.TracingConfig{
+		Service: "fulmarbeam", VM: s.VM.ID, Region: s.VM.Region, Zone: s.VM.Zone,
+		Endpoint: s.Tracing.OTLPEndpoint, SampleRatio: s.Tracing.SampleRatio,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	g.tracing = tracing
+	g.proxy, err = proxy.New(proxy.Config{
+		Engine: g, Region: g.self.Region, Logger: g.log, Tracer: tracing.Tracer("proxy"), Metrics: g.cfg.Metrics,
+		Dialect: g.cfg.Dialect, Limits: g.limits(),
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if g.mesh, err = mesh.Listen(s.Listen.Links, g, g.log); err != nil {
+		return errors.Annotate(err, "links")
+	}
+	g.callers.server = g.proxy.NewServer()
+	if g.callers.Listener, err = net.Listen("tcp", s.Listen.Callers); err != nil {
+		return errors.Annotate(err, "callers")
+	}
+	return g.bindStatus()
+}
+
+func (g *Gateway) limits() proxy.Limits {
+	s := g.cfg.Settings
+	l := proxy.DefaultLimits()
+	l.HeaderBytes = int(s.Limits.Header)
+	l.ReplayBody = int(s.Limits.BodyBuffer)
+	l.BufferedBytes = int64(s.Limits.BodyBufferTotal)
+	l.KeepAlive, l.ServerKeepAlive = callerKeepAlive, serverKeepAlive
+	l.ConnectTime, l.SendTimeout, l.ConnsPerServer = connectTime, sendTimeout, connsPerServer
+	l.UnsentAttempts = unsentAttempts
+	return l
+}
+
+// Now returns the time since the VM started.
+func (g *Gateway) Now() fleet.Time { return fleet.Time(time.Since(g.origin)) }
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	defer g.Close()
+	failed := make(chan error, 3)
+	go g.mesh.Serve()
+	go func() { failed <- g.proxy.Serve(g.callers.server, g.callers.Listener) }()
+	go func() { failed <- g.ready.server.Serve(g.ready.Listener) }()
+	if g.meters.server != nil {
+		go func() { failed <- g.meters.server.Serve(g.meters.Listener) }()
+	}
+	go g.tickLoop()
+	g.log.Info("started", "vm", g.self.ID, "zone", g.self.Zone, "callers", g.callers.Addr().String(), "links", g.mesh.Addr())
+	select {
+	case err := <-failed:
+		return errors.Annotate(err, "listener")
+	case <-ctx.Done():
+	}
+	return g.shutdown()
+}
+
+func (g *Gateway) tickLoop() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		g.do(func(now fleet.Time) {
+			g.balance.Tick(now)
+			g.follower.Tick(now)
+			g.greet(now)
+		})
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// do runs a step of the deterministic state and passes on what it produced.
+func (g *Gateway) do(step func(now fleet.Time)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Now()
+	step(now)
+	g.flush(now)
+}
+
+// Close ends everything at once.
+func (g *Gateway) Close() {
+	g.stop()
+	for _, l := range []listener{g.callers, g.ready, g.meters} {
+		if l.server != nil {
+			_ = l.server.Close()
+		}
+		if l.Listener != nil {
+			_ = l.Close()
+		}
+	}
+	if g.mesh != nil {
+		_ = g.mesh.Close()
+	}
+	if g.proxy != nil {
+		g.proxy.Close()
+	}
+}
+
+// work numbers a piece of work.
+func (g *Gateway) work() pool.WorkID { return pool.WorkID(g.nextWork.Add(1)) }
--- /dev/null
+++ b/pkg/mesh/members.go
@@ -0,0 +1,227 @@
+// Package mesh connects the VMs of a fleet without a list of VMs from the platform:
+// a VM greets the addresses that its settings name, learns the VMs of its region from
+// the answers, and keeps those that it hears. Reports go in datagrams, whole copies
+// of the state over TCP.
+package mesh
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+)
+
+// Times of the membership.
+const (
+	greetInterval = 150 * time.Millisecond // between two greetings of one address while no VM is known
+	greetMember   = time.Second            // between two greetings of a member that is silent
+	greetSeeds    = 10 * time.Second       // between two greetings of the seeds by a VM that has members
+	silentAfter   = 2500 * time.Millisecond
+	forgetAfter   = 60 * time.Second
+	listedFor     = 10 * time.Second // members heard within this time are told to others
+	lonelyAfter   = time.Second      // a VM without members asks the store for addresses after this time
+)
+
+// maxListed bounds the members in one welcome, so that it fits into a datagram.
+const maxListed = 48
+
+// Member is one VM as it is told to others.
+type Member struct {
+	ID     fleet.VMID   `msgpack:"i"`
+	Addr   string       `msgpack:"a"`
+	Region fleet.Region `msgpack:"r"`
+	Zone   fleet.Zone   `msgpack:"z"`
+}
+
+// member is one row of the table of VMs.
+type member struct {
+	Member
+	added   fleet.Time
+	heard   fleet.Time // 0: never
+	greeted fleet.Time
+}
+
+// Members is the deterministic table of VMs that one VM knows.
+type Members struct {
+	self     Member
+	seeds    []string
+	rows     map[fleet.VMID]*member
+	greeted  fleet.Time // last greeting of the seeds
+	fleet    int        // largest number of VMs that another VM knew
+	events   []fleet.Event
+	hasStart bool
+	started  fleet.Time
+}
+
+// NewMembers returns a table that knows only the seeds' addresses.
+func NewMembers(self Member, seeds []string) *Members {
+	return &Members{self: self, seeds: seeds, rows: make(map[fleet.VMID]*member)}
+}
+
+// Greetings returns the addresses to greet now.
+func (m *Members) Greetings(now fleet.Time) []string {
+	if !m.hasStart {
+		m.hasStart, m.started = true, now
+	}
+	var out []string
+	interval := greetSeeds
+	if m.Heard(now) == 0 {
+		interval = greetInterval
+	}
+	if m.greeted == 0 || now.Sub(m.greeted) >= interval {
+		m.greeted = max(now, 1)
+		for _, s := range m.seeds {
+			if s != m.self.Addr {
+				out = append(out, s)
+			}
+		}
+	}
+	for id, r := range m.rows {
+		if now.Sub(max(r.heard, r.added)) > forgetAfter {
+			delete(m.rows, id)
+			continue
+		}
+		if r.Region == m.self.Region && !r.live(now) && (r.greeted == 0 || now.Sub(r.greeted) >= greetMember) {
+			r.greeted = max(now, 1)
+			out = append(out, r.Addr)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Lonely reports whether the VM has found no other VM for a while.
+func (m *Members) Lonely(now fleet.Time) bool {
+	return m.hasStart && now.Sub(m.started) > lonelyAfter && m.Heard(now) == 0
+}
+
+// AddSeeds adds addresses to greet.
+func (m *Members) AddSeeds(addresses []string) {
+	for _, a := range addresses {
+		if a != "" && !slices.Contains(m.seeds, a) {
+			m.seeds = append(m.seeds, a)
+			m.greeted = 0
+		}
+	}
+}
+
+func (r *member) live(now fleet.Time) bool { return r.heard != 0 && now.Sub(r.heard) <= silentAfter }
+
+// Hear notes a datagram of a VM whose row is known.
+func (m *Members) Hear(now fleet.Time, id fleet.VMID) {
+	if r := m.rows[id]; r != nil {
+		if !r.live(now) {
+			m.event("peer_found", id)
+		}
+		r.heard = max(now, 1)
+	}
+}
+
+// Learn adds a VM; direct tells that the VM itself spoke.
+func (m *Members) Learn(now fleet.Time, v Member, direct bool) {
+	if v.ID == m.self.ID || v.ID == "" || v.Addr == "" {
+		return
+	}
+	r := m.rows[v.ID]
+	if r == nil {
+		r = &member{added: now}
+		m.rows[v.ID] = r
+	}
+	if direct || r.Addr == "" {
+		r.Member = v
+	}
+	if direct {
+		m.Hear(now, v.ID)
+	}
+}
+
+// Listed returns the VMs of a region that were heard lately, and how many VMs of the
+// fleet this one knows.
+func (m *Members) Listed(now fleet.Time, region fleet.Region) (list []Member, known int) {
+	list = append(list, m.self)
+	known = 1
+	for _, r := range m.rows {
+		if r.heard == 0 {
+			continue
+		}
+		known++
+		if r.Region == region && now.Sub(r.heard) <= listedFor && len(list) < maxListed {
+			list = append(list, r.Member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return list, known
+}
+
+// SetFleet notes how many VMs another VM knows.
+func (m *Members) SetFleet(n int) { m.fleet = max(m.fleet, n) }
+
+// Fleet returns the number of VMs of the fleet as far as known.
+func (m *Members) Fleet() int { return max(m.fleet, len(m.rows)+1) }
+
+// Heard returns the number of other VMs of the region that are heard.
+func (m *Members) Heard(now fleet.Time) int {
+	n := 0
+	for _, r := range m.rows {
+		if r.Region == m.self.Region && r.live(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Peers returns the addresses of the heard VMs of this VM's zone and of the region's
+// other zones.
+func (m *Members) Peers(now fleet.Time) (zone, region []string) {
+	for _, r := range m.rows {
+		switch {
+		case !r.live(now) || r.Region != m.self.Region:
+		case r.Zone == m.self.Zone:
+			zone = append(zone, r.Addr)
+		default:
+			region = append(region, r.Addr)
+		}
+	}
+	return zone, region
+}
+
+// Rank returns the place of a VM among the heard VMs of the region.
+func (m *Members) Rank(now fleet.Time, id fleet.VMID) int {
+	rank := 0
+	if m.self.ID < id {
+		rank++
+	}
+	for other, r := range m.rows {
+		if other < id && r.Region == m.self.Region && r.live(now) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Addr returns the address of a VM.
+func (m *Members) Addr(id fleet.VMID) (string, bool) {
+	r := m.rows[id]
+	if r == nil {
+		return "", false
+	}
+	return r.Addr, true
+}
+
+// Events returns what changed since the last call.
+func (m *Members) Events(now fleet.Time) []fleet.Event {
+	for id, r := range m.rows {
+		if r.heard > 1 && !r.live(now) && r.Region == m.self.Region {
+			r.heard = 1
+			m.event("peer_lost", id)
+		}
+	}
+	out := m.events
+	m.events = nil
+	return out
+}
+
+func (m *Members) event(kind fleet.EventKind, id fleet.VMID) {
+	m.events = append(m.events, fleet.Event{Kind: kind, Reason: string(id)})
+}
--- /dev/null
+++ b/pkg/mesh/messages.go
@@ -0,0 +1,70 @@
+package mesh
+
+import (
+	"github.com/fulmarbeam/fulmarbeam/pkg/balance"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/follower"
+	"github.com/fulmarbeam/fulmarbeam/pkg/wire"
+)
+
+// Kinds of messages between VMs; their numbers are part of the protocol.
+const (
+	kindHello   fleet.Kind = 601
+	kindWelcome fleet.Kind = 602
+	kindReport  fleet.Kind = 603
+	kindBeacon  fleet.Kind = 604
+	kindAsk     fleet.Kind = 605
+	kindCopy    fleet.Kind = 606
+)
+
+// Hello greets a VM.
+type Hello struct {
+	Self Member `msgpack:"s"`
+}
+
+// Welcome answers a greeting with the VMs of the greeter's region.
+type Welcome struct {
+	Self    Member   `msgpack:"s"`
+	Members []Member `msgpack:"m"`
+	Fleet   int      `msgpack:"f"` // VMs of the fleet that the sender knows
+	Ready   bool     `msgpack:"r"` // the sender has a copy of the state to give
+}
+
+// Report carries a balancer's report.
+type Report struct {
+	From   fleet.VMID     `msgpack:"f"`
+	Report balance.Report `msgpack:"r"`
+}
+
+// Beacon carries what the region's reader read.
+type Beacon struct {
+	From   fleet.VMID      `msgpack:"f"`
+	Beacon follower.Beacon `msgpack:"b"`
+}
+
+// Ask asks for a copy of the state.
+type Ask struct {
+	From fleet.VMID `msgpack:"f"`
+}
+
+// Copy answers Ask. A VM without a copy answers with none.
+type Copy struct {
+	Copy *follower.Copy `msgpack:"c"`
+}
+
+// Kind returns the number of the message.
+func (*Hello) Kind() fleet.Kind   { return kindHello }
+func (*Welcome) Kind() fleet.Kind { return kindWelcome }
+func (*Report) Kind() fleet.Kind  { return kindReport }
+func (*Beacon) Kind() fleet.Kind  { return kindBeacon }
+func (*Ask) Kind() fleet.Kind     { return kindAsk }
+func (*Copy) Kind() fleet.Kind    { return kindCopy }
+
+func init() {
+	wire.Register(func() fleet.Message { return new(Hello) })
+	wire.Register(func() fleet.Message { return new(Welcome) })
+	wire.Register(func() fleet.Message { return new(Report) })
+	wire.Register(func() fleet.Message { return new(Beacon) })
+	wire.Register(func() fleet.Message { return new(Ask) })
+	wire.Register(func() fleet.Message { return new(Copy) })
+}
--- a/pkg/node/engine.go
+++ b/pkg/node/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/document"
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
@@ -52,6 +53,9 @@
 // Routes returns the look-up table in force, or nil before the first document.
 func (n *Node) Routes() *document.Index { return n.index.Load() }
 
+// Split chooses one of the route's backends by their weights.
+func (n *Node) Split(m document.RouteMatch) fleet.Service { return m.Split(rand.Float64()) }
+
 // Acquire waits for a slot. It returns the code CallerGone when ctx ends first.
 func (n *Node) Acquire(ctx context.Context, work pool.Work) pool.Decision {
 	d := n.acquire(ctx, work)
--- a/pkg/pool/bench_test.go
+++ b/pkg/pool/bench_test.go
@@ -34,10 +34,10 @@
 		p.Tick(now)
 		work.ID = WorkID(k + 1)
 		if d, ok := p.Submit(now, work); ok && d.Code == result.OK {
-			p.End(now.Add(time.Millisecond), work.ID, End{EndOK, time.Millisecond})
+			p.End(now.Add(time.Millisecond), work.ID, End{State: EndOK, Duration: time.Millisecond})
 		}
 		for _, d := range p.Decisions() {
-			p.End(now.Add(time.Millisecond), d.Work, End{EndOK, time.Millisecond})
+			p.End(now.Add(time.Millisecond), d.Work, End{State: EndOK, Duration: time.Millisecond})
 		}
 		p.Outbox()
 	}
@@ -73,7 +73,7 @@
 		if _, ok := p.Submit(now, work); !ok {
 			missed++
 		}
-		p.End(now, id, End{EndOK, time.Millisecond})
+		p.End(now, id, End{State: EndOK, Duration: time.Millisecond})
 		if id%1000 == 0 {
 			p.Tick(now)
 			p.Outbox()
--- a/pkg/pool/sim_test.go
+++ b/pkg/pool/sim_test.go
@@ -340,7 +340,7 @@
 		srv.ordinary = append(srv.ordinary, s.now)
 	}
 	if srv.dead || s.cutSrv(vm, srv) {
-		s.after(250*ms, func() { s.end(vm, q, End{EndUnreachable, 250 * ms}) })
+		s.after(250*ms, func() { s.end(vm, q, End{State: EndUnreachable, Duration: 250 * ms}) })
 		return
 	}
 	s.after(netHop/3, func() { s.arriveAt(vm, q, srv) })
@@ -348,12 +348,12 @@
 
 func (s *sim) arriveAt(vm *simVM, q *request, srv *simServer) {
 	if srv.drains {
-		s.after(netHop/3, func() { s.end(vm, q, End{EndDraining, ms}) })
+		s.after(netHop/3, func() { s.end(vm, q, End{State: EndDraining, Duration: ms}) })
 		return
 	}
 	if srv.running >= s.slots {
 		s.sheds++
-		s.after(netHop/3, func() { s.end(vm, q, End{EndShed, ms}) })
+		s.after(netHop/3, func() { s.end(vm, q, End{State: EndShed, Duration: ms}) })
 		return
 	}
 	srv.running++
@@ -363,7 +363,7 @@
 	if gray {
 		d = time.Duration(float64(d) * srv.slow)
 	}
-	e := End{EndOK, d + ms}
+	e := End{State: EndOK, Duration: d + ms}
 	if gray && s.rng.Float64() < srv.fail || s.rng.Float64() < q.route.fail {
 		e.State, d = EndFailed, d/4
 	}
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -23,6 +23,11 @@
 	Weight     float64
 	Deadline   fleet.Time
 	Idempotent bool
+	Objective  time.Duration    // latency objective counted from now; 0 means none
+	Priority   int              // 0 is the most urgent
+	Repeats    int              // further servers that may be tried after a failure
+	Bytes      int              // size of the request body
+	Request    string           // the caller's request id, for logs
 	IsRetry    bool             // counts against the retry budget
 	Exclude    []fleet.ServerID // servers that this request already tried
 }
@@ -34,6 +39,7 @@
 	Code   result.Code
 	Trial  bool          // the server is on trial after an ejection
 	Queued time.Duration // how long the work waited
+	Retry  time.Duration // with a refusal: when to come back; 0 means no advice
 }
 
 // EndState says how an attempt on a server ended.
@@ -55,4 +61,6 @@
 type End struct {
 	State    EndState
 	Duration time.Duration // time at the server
+	Bytes    int           // size of the answer's body as far as it was read
+	Sent     bool          // a byte of the request may have reached the server
 }
--- a/pkg/proxy/answer.go
+++ b/pkg/proxy/answer.go
@@ -39,7 +39,7 @@
 
 func newAnswer(x *exchange, resp *http.Response) *answer {
 	a := &answer{status: resp.StatusCode, header: endToEnd(resp.Header), length: resp.ContentLength, resp: resp}
-	a.draining = resp.Header.Get(headerDraining) != ""
+	a.draining = x.p.dialect.Draining != "" && resp.Header.Get(x.p.dialect.Draining) != ""
 	a.noBody = x.r.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	if echo := x.service.EchoHeader; echo != "" {
 		a.header.Set(echo, x.id) // the caller knows its own id
@@ -133,6 +133,7 @@
 			x.p.engine.Record(fleet.Event{Kind: eventUnknown, Service: x.route.Route.Service, Request: x.id,
 				Reason: out.code.String(), Detail: map[string]string{"detail": out.detail}})
 		}
+		x.retryAfter = out.retry
 		x.fail(out.code, out.detail)
 		return
 	}
@@ -300,6 +301,10 @@
 	}
 	h := x.w.Header()
 	failureHeader(h, code, x.outcome(code))
+	if name := x.p.dialect.RetryAfter; name != "" && info.Outcome == result.OutcomeNotRun && info.HTTP == http.StatusServiceUnavailable {
+		orDefault(&x.retryAfter, x.p.limits.RetryAfter)
+		h.Set(name, strconv.FormatFloat(x.retryAfter.Seconds(), 'f', 3, 64))
+	}
 	h["Content-Length"] = contentLength(int64(len(body)))
 	x.connection(h)
 	if code == result.SlowRequest || x.body == nil || !x.body.whole {
@@ -354,7 +359,7 @@
 // key was looked up may be the repeat of one that ran, so it is not told "not-run".
 func (x *exchange) outcome(code result.Code) result.Outcome {
 	told := code.Info().Outcome
-	keyed := !x.route.Route.Idempotent && len(x.r.Header.Values("Idempotency-Key")) > 0
+	keyed := !x.p.dialect.KeyPass && !x.route.Route.Idempotent && len(x.r.Header.Values("Idempotency-Key")) > 0
 	if told == result.OutcomeNotRun && keyed && !x.keyChecked {
 		return result.OutcomeUnknown
 	}
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -28,9 +29,11 @@
 type outcome struct {
 	code     result.Code // OK when ans holds an answer to pass on
 	detail   string
-	notRun   bool // proof that no server ran the work
-	declined bool // a server said that it did not run the work
-	again    bool // another server may do better
+	notRun   bool          // proof that no server ran the work
+	declined bool          // a server said that it did not run the work
+	again    bool          // another server may do better
+	unsent   bool          // no byte of the request left this VM
+	retry    time.Duration // with a refusal: when the caller may come back
 	ans      *answer
 	end      pool.EndState
 	close    func() // ends the attempt on the wire and gives the slot back
@@ -61,20 +64,27 @@
 	}
 	var tried []fleet.ServerID
 	var best *outcome
+	sent := 0 // attempts of which a byte may have reached a server
 	for try := 0; ; try++ {
-		d := x.acquire(try > 0, tried)
+		d := x.acquire(sent, tried)
 		if d.Code != result.OK {
 			if best != nil { // why the earlier attempt failed says more than the lack of another server
+				best.retry = max(best.retry, d.Retry)
 				return best
 			}
-			return notRun(d.Code, 0, "no slot at a server of %s", x.route.Route.Service)
+			out := notRun(d.Code, 0, "no slot at a server of %s", x.route.Route.Service)
+			out.retry = d.Retry
+			return out
 		}
 		out := x.attempt(base, d)
 		best = better(best, out)
-		if !x.mayRepeat(out, try) {
+		if !out.unsent {
+			sent++
+		}
+		if !x.mayRepeat(out, sent, try) {
 			return best
 		}
-		if !x.p.engine.MayRetry(x.route.Route.Service) {
+		if sent > 0 && !x.p.engine.MayRetry(x.route.Route.Service) {
 			if best.declined {
 				best.code = result.RetryBudgetSpent
 			}
@@ -103,6 +113,14 @@
 	return now
 }
 
+// bytes returns the size of the answer's body as far as it is in memory.
+func (o *outcome) bytes() int {
+	if o.ans == nil {
+		return 0
+	}
+	return len(o.ans.body)
+}
+
 // dispose drops an answer that is not passed on.
 func (o *outcome) dispose() {
 	if o.ans != nil && o.close != nil {
@@ -110,13 +128,17 @@
 	}
 }
 
-func (x *exchange) mayRepeat(out *outcome, try int) bool {
+// mayRepeat reports whether the request may go to another server. Attempts that sent
+// nothing have a bound of their own beyond the route's.
+func (x *exchange) mayRepeat(out *outcome, sent, try int) bool {
 	switch {
+	case try >= x.route.Route.Retries+x.p.limits.UnsentAttempts:
+		return false
 	case !out.again, !x.body.whole, x.left() <= 0, x.callerGone():
 		return false
 	case out.ans != nil && !out.ans.whole: // it is being streamed
 		return false
-	case try >= x.route.Route.Retries:
+	case sent > x.route.Route.Retries:
 		if out.declined {
 			out.code = result.ServersDeclined
 		}
@@ -126,7 +148,7 @@
 }
 
 // acquire waits for a slot at a server.
-func (x *exchange) acquire(repeat bool, tried []fleet.ServerID) pool.Decision {
+func (x *exchange) acquire(sent int, tried []fleet.ServerID) pool.Decision {
 	ctx, span := x.p.tracer.Start(x.ctx, "queue")
 	defer span.End()
 	ctx, cancel := context.WithTimeout(ctx, x.left())
@@ -139,7 +161,12 @@
 		Weight:     x.weight,
 		Deadline:   x.deadline,
 		Idempotent: x.route.Route.Idempotent,
-		IsRetry:    repeat,
+		Objective:  time.Duration(x.route.Route.Objective) - time.Since(x.begun),
+		Priority:   x.route.Route.Priority,
+		Repeats:    max(0, x.route.Route.Retries-sent),
+		Bytes:      len(x.body.buffered),
+		Request:    x.id,
+		IsRetry:    sent > 0,
 		Exclude:    tried,
 	})
 	if d.Code == result.CallerGone && !x.callerGone() {
@@ -170,7 +197,7 @@
 		cancel()
 		x.body.abandon()
 		unuse()
-		x.p.engine.Release(d.Work, pool.End{State: out.end, Duration: x.p.engine.Now().Sub(start)})
+		x.p.engine.Release(d.Work, pool.End{State: out.end, Duration: x.p.engine.Now().Sub(start), Bytes: out.bytes(), Sent: !out.unsent})
 		x.p.metrics.attempt(x.route.Route.Service, out.end)
 		if span.IsRecording() {
 			span.SetAttributes(attribute.String("fulmar.server", string(d.Server.ID)), attribute.String("fulmar.end", endName(out.end)))
@@ -194,7 +221,10 @@
 // the server saw nothing.
 func (x *exchange) exchangeOnce(ctx context.Context, rt *http.Transport, s fleet.Server) *outcome {
 	for tries := 0; ; tries++ {
-		sentID := x.p.ids.attemptID(x.id)
+		sentID := x.id
+		if !x.p.dialect.OwnID {
+			sentID = x.p.ids.attemptID(x.id)
+		}
 		f := &flight{mayStart: x.mayStart}
 		resp, err := rt.RoundTrip(x.request(ctx, f, s, sentID))
 		if err == nil {
@@ -208,7 +238,9 @@
 		if started {
 			return x.classifyLost(ctx, f, err)
 		}
-		return x.classifyUnsent(ctx, f, refusal, err)
+		out := x.classifyUnsent(ctx, f, refusal, err)
+		out.unsent = true
+		return out
 	}
 }
 
@@ -228,8 +260,10 @@
 func (x *exchange) request(ctx context.Context, f *flight, s fleet.Server, sentID string) *http.Request {
 	trailer := endToEnd(x.r.Trailer)
 	body, length := x.body.reader(trailer)
-	header := x.serverHeader(sentID)
-	injectTrace(header, func(c propagation.TextMapCarrier) { propagator.Inject(ctx, c) })
+	header := x.serverHeader(sentID, s)
+	if !x.p.dialect.Plain {
+		injectTrace(header, func(c propagation.TextMapCarrier) { propagator.Inject(ctx, c) })
+	}
 	u := &url.URL{Scheme: "http", Host: s.Addr, Path: x.r.URL.Path, RawPath: x.r.URL.RawPath,
 		RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery}
 	req := &http.Request{
@@ -341,11 +375,14 @@
 		}
 	}
 	switch {
-	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerShed) == "1":
+	case x.p.dialect.shed(resp):
 		return decline(pool.EndShed, "the server shed the request")
-	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerDeclined) != "":
+	case x.p.dialect.declined(resp):
 		return decline(pool.EndDraining, "the server declined the request")
 	}
+	if reason := x.unproven(resp); reason != "" {
+		return drop(failed(result.AnswerMalformed, pool.EndFailed, "%s", reason).retryable())
+	}
 	a := newAnswer(x, resp)
 	if a.unbounded() && !x.service.CloseDelimited {
 		return drop(failed(result.AnswerUnbounded, pool.EndFailed, "the answer has neither length nor chunked coding"))
@@ -356,6 +393,18 @@
 	return &outcome{code: result.OK, ans: a, end: a.end(), again: retryStatus(a.status)}
 }
 
+// unproven returns why a successful answer cannot be the server's own, or nothing.
+func (x *exchange) unproven(resp *http.Response) string {
+	d := x.p.dialect
+	if d.Signature != "" && resp.StatusCode < 300 && resp.Header.Get(d.Signature) == "" {
+		return "the answer lacks the server's signature"
+	}
+	if !d.Encoded && resp.Header.Get("Content-Encoding") != "" {
+		return "the answer has a content encoding that was not asked for"
+	}
+	return ""
+}
+
 // retryStatus reports whether another server may answer better.
 func retryStatus(status int) bool {
 	switch status {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -52,6 +52,8 @@
 	out    informer // informational answers and the commit of the final one
 	code   result.Code
 	status int
+
+	retryAfter time.Duration // advice with a refusal; 0 means the default
 }
 
 func (p *Proxy) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
@@ -59,7 +61,7 @@
 	ctx, span := p.tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
 	x := &exchange{
 		p: p, w: w, r: r, ctl: http.NewResponseController(w), ctx: ctx, span: span,
-		begun: time.Now(), id: p.ids.requestID(r.Header.Values("X-Request-Id")),
+		begun: time.Now(), id: p.requestID(r),
 	}
 	x.out.x = x
 	if span.IsRecording() {
@@ -113,9 +115,12 @@
 		return result.Errorf(code, "%s %s", x.r.Method, x.r.URL.Path)
 	}
 	x.route = match
-	service, ok := table.Service(match.Route.Service)
+	if len(match.Route.Backends) > 0 {
+		x.route.Route.Service = x.p.engine.Split(match)
+	}
+	service, ok := table.Service(x.route.Route.Service)
 	if !ok {
-		return result.Errorf(result.NoServer, "service %s is not described", match.Route.Service)
+		return result.Errorf(result.NoServer, "service %s is not described", x.route.Route.Service)
 	}
 	x.service = service
 	if err := x.readWorkspace(table); err != nil {
@@ -126,10 +131,19 @@
 	}
 	limit := time.Duration(match.Route.Deadline)
 	orDefault(&limit, x.p.limits.DefaultDeadline)
+	if waits, ok := x.p.dialect.callerDeadline(x.r.Header); ok {
+		limit = min(limit, waits)
+	}
 	x.deadline = x.p.engine.Now().Add(limit)
 	return x.readBody()
 }
 
+// requestID returns the caller's id of the request. Where servers see the caller's
+// own id, a request without one keeps having none, and logs name it by a new one.
+func (p *Proxy) requestID(r *http.Request) string {
+	return p.ids.requestID(r.Header.Values(p.dialect.RequestID))
+}
+
 func (x *exchange) readWorkspace(table RouteTable) *result.Error {
 	x.weight = x.route.Route.Weight
 	orDefault(&x.weight, 1)
@@ -164,7 +178,7 @@
 		}
 		return nil
 	}
-	if x.route.Route.Idempotent {
+	if x.route.Route.Idempotent || x.p.dialect.KeyPass {
 		return nil
 	}
 	key := values[0]
--- a/pkg/proxy/form.go
+++ b/pkg/proxy/form.go
@@ -14,17 +14,12 @@
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
 )
 
-// Headers between the proxy and servers. All start with X-Fulmar-, so that the
-// prefix can be removed in both directions.
+// Prefixes of the fleet's own headers, which pass in neither direction.
 const (
-	headerDeadline = "X-Fulmar-Deadline-Ms"
-	headerShed     = "X-Fulmar-Shed"
-	headerDeclined = "X-Fulmar-Declined"
-	headerDraining = "X-Fulmar-Draining"
-
 	serverHeaderPrefix = "X-Fulmar-"
 	callerHeaderPrefix = "Fulmar-"
 )
@@ -99,14 +94,26 @@
 }
 
 // serverHeader builds the header towards the server.
-func (x *exchange) serverHeader(sentID string) http.Header {
+func (x *exchange) serverHeader(sentID string, s fleet.Server) http.Header {
 	h := endToEnd(x.r.Header)
+	d := x.p.dialect
 	delete(h, "Expect") // the body is read here, so 100-continue was answered here
 	if hasToken(x.r.Header.Values("Te"), "trailers") {
 		h["Te"] = []string{"trailers"}
 	}
-	h["X-Request-Id"] = []string{sentID}
-	h[headerDeadline] = []string{strconv.FormatInt(max(1, x.left().Milliseconds()), 10)}
+	if sentID != "" {
+		h.Set(d.RequestID, sentID)
+	}
+	h.Set(d.Deadline, strconv.FormatInt(max(1, x.left().Milliseconds()), 10))
+	if d.Target != "" {
+		h.Set(d.Target, string(s.ID))
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	if d.Plain {
+		return h
+	}
 	h["Via"] = append(h["Via"][:len(h["Via"]):len(h["Via"])], protocolVersion(x.r)+" fulmarbeam")
 	if ip, _, err := net.SplitHostPort(x.r.RemoteAddr); err == nil {
 		if prior := h["X-Forwarded-For"]; len(prior) > 0 {
@@ -114,9 +121,6 @@
 		}
 		h["X-Forwarded-For"] = []string{ip}
 	}
-	if _, ok := h["User-Agent"]; !ok {
-		h["User-Agent"] = []string{""} // keeps net/http from adding its own
-	}
 	return h
 }
 
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -55,7 +55,10 @@
 
 func (e *fakeEngine) Now() fleet.Time         { return fleet.Time(time.Since(e.origin)) }
 func (e *fakeEngine) Routes() *document.Index { return nil }
-func (e *fakeEngine) NextWork() pool.WorkID   { return pool.WorkID(e.ids.Add(1)) }
+func (e *fakeEngine) Split(m document.RouteMatch) fleet.Service {
+	return m.Route.Backends[0].Service
+}
+func (e *fakeEngine) NextWork() pool.WorkID { return pool.WorkID(e.ids.Add(1)) }
 func (e *fakeEngine) Record(event fleet.Event) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -40,6 +40,10 @@
 	DefaultDeadline time.Duration // for routes without a deadline
 	ConnectTime     time.Duration // TCP connect to a server
 	ConnsPerServer  int           // connections of this VM to one server
+	UnsentAttempts  int           // further servers tried after attempts that sent nothing, beyond the route's repeats
+	RetryAfter      time.Duration // advice with refusals that have none of their own
+	ServerKeepAlive time.Duration // idle connection to a server; KeepAlive when 0
+	SendTimeout     time.Duration // sent bytes that a peer does not acknowledge end the connection; 0 leaves it to the system
 	ServerIdle      time.Duration // transports of servers not used for this long are dropped
 }
 
@@ -58,6 +62,7 @@
 		DefaultMaxBody:  16 << 20,
 		DefaultDeadline: 10 * time.Second,
 		ConnectTime:     time.Second,
+		RetryAfter:      200 * time.Millisecond,
 		ConnsPerServer:  7, // 330 connections over 44 VMs, the tightest service of design section 1.1
 		ServerIdle:      5 * time.Minute,
 	}
@@ -85,6 +90,8 @@
 	orDefault(&l.DefaultDeadline, d.DefaultDeadline)
 	orDefault(&l.ConnectTime, d.ConnectTime)
 	orDefault(&l.ConnsPerServer, d.ConnsPerServer)
+	orDefault(&l.RetryAfter, d.RetryAfter)
+	orDefault(&l.ServerKeepAlive, l.KeepAlive)
 	orDefault(&l.ServerIdle, d.ServerIdle)
 	return l
 }
@@ -98,6 +105,7 @@
 	Tracer  trace.Tracer
 	Metrics *metrics.Set
 	Limits  Limits
+	Dialect *Dialect // nil means DefaultDialect
 }
 
 // Proxy serves HTTP between callers and backend servers. It is an http.Handler for
@@ -109,6 +117,7 @@
 	log        logr.Logger
 	tracer     trace.Tracer
 	limits     Limits
+	dialect    Dialect
 	metrics    *meters
 	transports *transports
 	buffers    *budget
@@ -139,6 +148,10 @@
 		c.Table = func() RouteTable { return indexTable(c.Engine.Routes()) }
 	}
 	limits := c.Limits.withDefaults()
+	dialect := DefaultDialect()
+	if c.Dialect != nil {
+		dialect = *c.Dialect
+	}
 	p := &Proxy{
 		engine:  c.Engine,
 		region:  c.Region,
@@ -146,6 +159,7 @@
 		log:     c.Logger,
 		tracer:  c.Tracer,
 		limits:  limits,
+		dialect: dialect,
 		metrics: newMeters(c.Metrics),
 		buffers: &budget{free: limits.BufferedBytes},
 		ids:     newIDSource(),
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/netutil"
 )
 
 // transports holds one http.Transport for each server in use.
@@ -91,7 +92,7 @@
 		count = func(n int) { c.Add(n) }
 	}
 	conns := t.meters.conns(s.Service)
-	dialer := &net.Dialer{Timeout: t.limits.ConnectTime, KeepAlive: 15 * time.Second}
+	dialer := netutil.Dialer(t.limits.ConnectTime, t.limits.SendTimeout)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	return &http.Transport{
@@ -112,7 +113,7 @@
 		DisableCompression:     true, // answers pass unchanged
 		MaxConnsPerHost:        t.limits.ConnsPerServer,
 		MaxIdleConnsPerHost:    t.limits.ConnsPerServer,
-		IdleConnTimeout:        t.limits.KeepAlive,
+		IdleConnTimeout:        t.limits.ServerKeepAlive,
 		MaxResponseHeaderBytes: int64(2 * t.limits.HeaderBytes),
 		WriteBufferSize:        16 << 10,
 		ReadBufferSize:         16 << 10,
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -120,7 +120,7 @@
 	{DeadlineInQueue, "deadline_in_queue", OutcomeNotRun, 503, 3, "the deadline passed while the request was queued"},
 	{RetryBudgetSpent, "retry_budget_spent", OutcomeNotRun, 503, 3, "a server declined and the retry budget is spent"},
 	{ServersDeclined, "servers_declined", OutcomeNotRun, 503, 3, "every server tried declined the work"},
-	{ServerUnreachable, "server_unreachable", OutcomeNotRun, 502, 3, "no connection to a server could be opened"},
+	{ServerUnreachable, "server_unreachable", OutcomeNotRun, 503, 3, "no connection to a server could be opened"},
 	{AnswerLost, "answer_lost", OutcomeUnknown, 502, 4, "the connection failed after the request was sent"},
 	{AnswerTruncated, "answer_truncated", OutcomeUnknown, 502, 4, "the answer ended early"},
 	{AnswerCrossed, "answer_crossed", OutcomeUnknown, 502, 4, "the answer belongs to another request"},
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -57,13 +57,8 @@
 func parent(path string) string { return path[:max(0, strings.LastIndexByte(path, '.'))] }
 
 func (d *decoder) check(s *Settings) {
-	for _, f := range []struct{ path, value string }{
-		{"fleet", s.Fleet}, {"vm.id", s.VM.ID}, {"vm.region", s.VM.Region}, {"vm.zone", s.VM.Zone},
-	} {
-		if !namePattern.MatchString(f.value) {
-			d.at(f.path, "expected a name of 1 to 63 characters a-z, 0-9, '.', '_' or '-', found %q", f.value)
-		}
-	}
+	d.name("fleet", s.Fleet)
+	d.names(s.VM)
 	d.checkAddresses(s)
 	d.checkPlatform(s.Platform)
 	if key, err := base64.StdEncoding.DecodeString(s.RootKey); err != nil || len(key) != ed25519.PublicKeySize {
@@ -71,14 +66,34 @@
 	}
 	d.checkDrain(s)
 	d.checkLimits(s.Limits)
-	d.oneOf("log.level", s.Log.Level, "error", "info", "debug")
-	d.oneOf("log.format", s.Log.Format, "json", "console")
-	if s.Tracing.OTLPEndpoint != "" {
-		d.url("tracing.otlp_endpoint", s.Tracing.OTLPEndpoint)
+	d.checkTelemetry(s.Log, s.Tracing)
+}
+
+func (d *decoder) names(vm VM) {
+	d.name("vm.id", vm.ID)
+	d.name("vm.region", vm.Region)
+	d.name("vm.zone", vm.Zone)
+}
+
+func (d *decoder) name(path, v string) {
+	if !namePattern.MatchString(v) {
+		d.at(path, "expected a name of 1 to 63 characters a-z, 0-9, '.', '_' or '-', found %q", v)
+	}
+}
+
+func (d *decoder) share(path string, v float64) {
+	if !(v >= 0 && v <= 1) {
+		d.at(path, "expected a number from 0 to 1, found %v", v)
 	}
-	if r := s.Tracing.SampleRatio; !(r >= 0 && r <= 1) {
-		d.at("tracing.sample_ratio", "expected a number from 0 to 1, found %v", r)
+}
+
+func (d *decoder) checkTelemetry(l Log, t Tracing) {
+	d.oneOf("log.level", l.Level, "error", "info", "debug")
+	d.oneOf("log.format", l.Format, "json", "console")
+	if t.OTLPEndpoint != "" {
+		d.url("tracing.otlp_endpoint", t.OTLPEndpoint)
 	}
+	d.share("tracing.sample_ratio", t.SampleRatio)
 }
 
 func (d *decoder) checkAddresses(s *Settings) {
--- a/pkg/settings/decode.go
+++ b/pkg/settings/decode.go
@@ -67,6 +67,15 @@
 // Load reads and checks a settings file. A file with problems gives an *Error, one
 // that cannot be read a *result.Error with the code SettingsInvalid.
 func Load(path string) (*Settings, error) {
+	data, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, data)
+}
+
+// read reads a settings file up to the bound that parse checks.
+func read(path string) ([]byte, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, result.Errorf(result.SettingsInvalid, "settings: %v", err)
@@ -76,15 +85,24 @@
 	if err != nil {
 		return nil, result.Errorf(result.SettingsInvalid, "settings: %v", err)
 	}
-	return Parse(path, data)
+	return data, nil
 }
 
 // Parse checks the content of a settings file. The name is used in problems.
 func Parse(name string, data []byte) (*Settings, error) {
+	s := Default()
+	if err := parse(name, data, s, func(d *decoder) { d.check(s) }); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// parse decodes a file into target and checks it once its form is right.
+func parse(name string, data []byte, target any, check func(*decoder)) error {
 	d := &decoder{file: name, data: data, lines: map[string]int{}, bad: map[string]bool{}}
 	if len(data) > maxFileBytes {
 		d.problem("", 1, fmt.Sprintf("expected at most %s", Size(maxFileBytes)))
-		return nil, &Error{d.problems}
+		return &Error{d.problems}
 	}
 	root, err := hujson.Parse(data)
 	if err != nil {
@@ -95,18 +113,17 @@
 			line = 1
 		}
 		d.problem("", line, "expected JSON with comments: "+oneLine(text))
-		return nil, &Error{d.problems}
+		return &Error{d.problems}
 	}
-	s := Default()
-	d.value(root, reflect.ValueOf(s).Elem(), "")
+	d.value(root, reflect.ValueOf(target).Elem(), "")
 	if !d.bad[""] {
-		d.check(s)
+		check(d)
 	}
 	if len(d.problems) > 0 {
 		slices.SortStableFunc(d.problems, func(a, b Problem) int { return a.Line - b.Line })
-		return nil, &Error{d.problems}
+		return &Error{d.problems}
 	}
-	return s, nil
+	return nil
 }
 
 // oneLine keeps the parser's message, which repeats text of the file, on one line.
@@ -201,6 +218,31 @@
 			return
 		}
 		*p = n
+	case *[]string:
+		array, ok := v.Value.(*hujson.Array)
+		if !ok {
+			expected("an array of strings")
+			return
+		}
+		list := make([]string, len(array.Elements))
+		for i, element := range array.Elements {
+			d.value(element, reflect.ValueOf(&list[i]).Elem(), path)
+		}
+		*p = list
+	case *map[string]string:
+		object, ok := v.Value.(*hujson.Object)
+		if !ok {
+			expected("an object of strings")
+			return
+		}
+		table := make(map[string]string, len(object.Members))
+		for _, member := range object.Members {
+			var value string
+			name := member.Name.Value.(hujson.Literal).String()
+			d.value(member.Value, reflect.ValueOf(&value).Elem(), join(path, name))
+			table[name] = value
+		}
+		*p = table
 	default:
 		object, ok := v.Value.(*hujson.Object)
 		if !ok {
--- /dev/null
+++ b/pkg/settings/gateway.go
@@ -0,0 +1,132 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Gateway is the content of the settings file of a VM that lives on a platform with a
+// store: the VM learns servers and configuration from the store, and other VMs from
+// the seeds.
+type Gateway struct {
+	VM       VM                `json:"vm"`
+	Zones    map[string]string `json:"zones"` // region of each availability zone
+	Listen   GatewayListen     `json:"listen"`
+	Seeds    []string          `json:"seeds"` // IP addresses of VMs to greet at the start, with or without a port
+	Store    Store             `json:"store"`
+	Shutdown Shutdown          `json:"shutdown"`
+	Repeats  Repeats           `json:"repeats"`
+	Prices   Prices            `json:"prices"`
+	Limits   Limits            `json:"limits"`
+	Log      Log               `json:"log"`
+	Tracing  Tracing           `json:"tracing"`
+}
+
+// GatewayListen holds the addresses that the VM binds, as IP:port.
+type GatewayListen struct {
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`   // answers whether the VM takes requests
+	Links   string `json:"links"`   // datagrams and copies between VMs; the port is the same on all VMs
+	Metrics string `json:"metrics"` // empty: no metrics listener
+}
+
+// Store says where the platform's store is.
+type Store struct {
+	Address string `json:"address"` // IP:port
+}
+
+// Shutdown bounds the graceful shutdown after SIGTERM.
+type Shutdown struct {
+	Grace Duration `json:"grace"` // the process exits after this time at the latest
+	Leave Duration `json:"leave"` // connections are accepted and kept this long
+}
+
+// Repeats bounds requests that reach a service's servers beyond the first time.
+type Repeats struct {
+	Ratio  float64  `json:"ratio"`  // repeats over requests
+	Window Duration `json:"window"` // over which the bound holds
+	Slack  float64  `json:"slack"`  // repeats in a window beyond the ratio, for the whole fleet
+}
+
+// Prices weigh bytes that leave the zone against a served request.
+type Prices struct {
+	ZonePerKB   float64 `json:"zone_per_kb"`   // between zones of a region
+	RegionPerKB float64 `json:"region_per_kb"` // between regions
+}
+
+// DefaultGateway returns the values of absent fields.
+func DefaultGateway() *Gateway {
+	return &Gateway{
+		Shutdown: Shutdown{Grace: Duration(6 * time.Second), Leave: Duration(3 * time.Second)},
+		Repeats:  Repeats{Ratio: 0.1, Window: Duration(10 * time.Second), Slack: 0},
+		Prices:   Prices{ZonePerKB: 0.01, RegionPerKB: 0.08},
+		Limits:   Limits{Header: 32 * KiB, BodyBuffer: 64 * KiB, BodyBufferTotal: 64 * MiB},
+		Log:      Log{Level: "info", Format: "json"},
+		Tracing:  Tracing{SampleRatio: 0.01},
+	}
+}
+
+// LoadGateway reads and checks the settings file of a VM on a platform. Errors are
+// those of Load.
+func LoadGateway(path string) (*Gateway, error) {
+	data, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseGateway(path, data)
+}
+
+// ParseGateway checks the content of a settings file. The name is used in problems.
+func ParseGateway(name string, data []byte) (*Gateway, error) {
+	g := DefaultGateway()
+	if err := parse(name, data, g, func(d *decoder) { d.checkGateway(g) }); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+func (d *decoder) checkGateway(g *Gateway) {
+	d.names(g.VM)
+	if region, ok := g.Zones[g.VM.Zone]; !ok || region != g.VM.Region {
+		d.at("zones", "expected zone %q in region %q, as vm says", g.VM.Zone, g.VM.Region)
+	}
+	for _, a := range []struct {
+		path, value string
+		optional    bool
+	}{
+		{"listen.callers", g.Listen.Callers, false}, {"listen.ready", g.Listen.Ready, false},
+		{"listen.links", g.Listen.Links, false}, {"listen.metrics", g.Listen.Metrics, true},
+		{"store.address", g.Store.Address, false},
+	} {
+		if a.value == "" && a.optional {
+			continue
+		}
+		if addr, err := netip.ParseAddrPort(a.value); err != nil || addr.Port() == 0 {
+			d.at(a.path, `expected an IP address and a port, such as "127.0.0.1:8080", found %q`, a.value)
+		}
+	}
+	for _, seed := range g.Seeds {
+		if _, err := SeedAddr(seed); err != nil {
+			d.at("seeds", "expected IP addresses with or without a port, found %q", seed)
+		}
+	}
+	d.duration("shutdown.grace", g.Shutdown.Grace, time.Second, maxDrainTimeout)
+	d.duration("shutdown.leave", g.Shutdown.Leave, 0, maxDrainDelay)
+	d.duration("repeats.window", g.Repeats.Window, time.Second, time.Hour)
+	d.share("repeats.ratio", g.Repeats.Ratio)
+	for path, v := range map[string]float64{"repeats.slack": g.Repeats.Slack, "prices.zone_per_kb": g.Prices.ZonePerKB, "prices.region_per_kb": g.Prices.RegionPerKB} {
+		if !(v >= 0) {
+			d.at(path, "expected a number from 0 on, found %v", v)
+		}
+	}
+	d.checkLimits(g.Limits)
+	d.checkTelemetry(g.Log, g.Tracing)
+}
+
+// SeedAddr returns the IP address of a seed.
+func SeedAddr(seed string) (netip.Addr, error) {
+	if a, err := netip.ParseAddrPort(seed); err == nil {
+		return a.Addr(), nil
+	}
+	return netip.ParseAddr(seed)
+}
