Let VMs of a region find each other by gossip and retry the store sooner

Change: heard members are greeted in turn; the first three VMs of a region retry the store every 0.7 s, the others less often; while a service fails more than usual, requests go to servers that nobody used for 1.1 s.

Ruled out: a lost beacon (the VMs had no peers), a late datagram.

--- a/pkg/balance/belief.go
+++ b/pkg/balance/belief.go
@@ -57,6 +57,42 @@
 	b.p, b.at = min(max(p, minBelief), maxBelief), at
 }
 
+// ratio is the share of failures among outcomes, in which older ones count less.
+type ratio struct {
+	failed, all float64
+	at          fleet.Time
+}
+
+// ratioHalving is the half-life of an outcome's weight.
+const ratioHalving = 1500 * time.Millisecond
+
+func (r *ratio) decay(now fleet.Time) {
+	if now > r.at {
+		f := math.Exp2(-now.Sub(r.at).Seconds() / ratioHalving.Seconds())
+		r.failed, r.all, r.at = r.failed*f, r.all*f, now
+	}
+}
+
+func (r *ratio) add(now fleet.Time, failed bool) {
+	r.decay(now)
+	r.all++
+	if failed {
+		r.failed++
+	}
+}
+
+// share returns the share of failures, 0 while there are few outcomes.
+func (r *ratio) share(now fleet.Time) float64 {
+	r.decay(now)
+	if r.all < minOutcomes {
+		return 0
+	}
+	return r.failed / r.all
+}
+
+// minOutcomes is the weight of outcomes from which a ratio says something.
+const minOutcomes = 3
+
 // smooth is an exponentially weighted mean of durations.
 type smooth struct {
 	mean float64 // seconds
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -30,6 +30,13 @@
 	trialTimes = 3                      // the time left must be this many times the work's
 )
 
+// Spreading over servers while a service fails.
+const (
+	spreadFailures = 0.07 // share of failures from which requests are spread
+	spreadRisk     = 0.62 // belief of a server that failed about 2 s ago
+	spreadUnused   = 1100 * time.Millisecond
+)
+
 // Refusals.
 const (
 	fullFor     = 200 * time.Millisecond // a server that shed is taken for full this long
@@ -87,6 +94,9 @@
 		}
 	}
 	trial := b.trial(now, svc, w, offers, best)
+	if trial == nil {
+		trial = b.spread(now, svc, offers, best)
+	}
 	if trial != nil {
 		best = trial
 		best.s.tried = now
@@ -187,6 +197,26 @@
 	return found
 }
 
+// spread returns a server that nobody has used for a while, while a service fails
+// more often than usual. Beliefs are then worth less, and avoiding servers because of
+// them must not take the service's capacity below its floor.
+func (b *Balancer) spread(now fleet.Time, svc *service, offers []offer, best *offer) *offer {
+	if svc.failures.share(now) < spreadFailures {
+		return nil
+	}
+	var found *offer
+	for i := range offers {
+		o := &offers[i]
+		if o == best || o.s.distance != inZone || o.risk > spreadRisk || o.s.load() > 0 || now < o.s.cutUntil || now.Sub(o.s.used) < spreadUnused {
+			continue
+		}
+		if found == nil || o.risk < found.risk {
+			found = o
+		}
+	}
+	return found
+}
+
 func (b *Balancer) triable(now fleet.Time, o *offer) bool {
 	s := o.s
 	if s.load() > 0 || now < s.cutUntil || now < s.fullUntil {
--- a/pkg/balance/observe.go
+++ b/pkg/balance/observe.go
@@ -91,6 +91,12 @@
 	if o.Pace > 0 {
 		s.addPace(now, float64(o.Pace))
 	}
+	switch o.Outcome {
+	case OutcomeOK:
+		b.service(s.entry.Server.Service).failures.add(now, false)
+	case OutcomeFailed, OutcomeTimeout, OutcomeUnreachable:
+		b.service(s.entry.Server.Service).failures.add(now, true)
+	}
 	b.noteChange(s, o, before, s.health.now(now), own)
 }
 
--- a/pkg/balance/table.go
+++ b/pkg/balance/table.go
@@ -47,8 +47,9 @@
 
 // service is one row of the table of services.
 type service struct {
-	servers map[fleet.ServerID]*server
-	repeats repeats
+	servers  map[fleet.ServerID]*server
+	repeats  repeats
+	failures ratio // of the attempts that the region's VMs saw
 }
 
 // peer is one row of the table of other VMs.
--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -26,9 +26,14 @@
 	rankDelay = 60 * time.Millisecond
 	// maxRank bounds the spread.
 	maxRank = 12
-	// retryMin and retryMax bound the pause after a failed reading.
-	retryMin = 500 * time.Millisecond
-	retryMax = 3 * time.Second
+	// retryFirst is the pause after a failed reading by one of the VMs that are the
+	// first to take over, which includes a VM that hears no other.
+	retryFirst = 700 * time.Millisecond
+	// retryOthers is the same for the other VMs: while the store is down for all of
+	// them, few calls are enough.
+	retryOthers = 2500 * time.Millisecond
+	// firstRanks is the number of VMs of a region that retry soon.
+	firstRanks = 3
 	// outageAfter is how long readings must fail before removals are held.
 	outageAfter = 900 * time.Millisecond
 	// removalHold is how long a removal is held after an outage: servers that were
@@ -183,8 +188,16 @@
 	}
 	f.failures++
 	f.reader = false
-	pause := min(retryMin<<min(f.failures-1, 4), retryMax)
-	f.nextRead = now.Add(pause + time.Duration(f.rank)*rankDelay)
+	f.nextRead = now.Add(f.retry())
+}
+
+// retry returns the pause after a failed call to the store.
+func (f *Follower) retry() time.Duration {
+	pause := retryFirst
+	if f.rank >= firstRanks {
+		pause = retryOthers
+	}
+	return pause + time.Duration(f.rank)*rankDelay
 }
 
 // readSucceeded notes a reading and returns how long removals are held.
@@ -328,12 +341,12 @@
 func (f *Follower) DocumentRead(now fleet.Time, batch registry.DocumentBatch, err error) {
 	f.docReading = false
 	if err != nil {
-		f.docRetry = now.Add(retryMin + time.Duration(f.rank)*rankDelay)
+		f.docRetry = now.Add(f.retry())
 		return
 	}
 	f.docRetry = now
 	if batch.Newest == nil && f.doc == nil {
-		f.docRetry = now.Add(retryMin)
+		f.docRetry = now.Add(retryFirst)
 	}
 	newer := f.takeDocument(batch.Newest, batch.Next)
 	f.docPosition = max(f.docPosition, batch.Next)
--- a/pkg/gateway/flush.go
+++ b/pkg/gateway/flush.go
@@ -164,15 +164,26 @@
 		case *mesh.Welcome:
 			g.welcome(now, m)
 		case *mesh.Report:
-			g.members.Hear(now, m.From)
-			g.balance.StepReport(now, m.From, m.Report)
+			if g.hear(now, m.From, from) {
+				g.balance.StepReport(now, m.From, m.Report)
+			}
 		case *mesh.Beacon:
-			g.members.Hear(now, m.From)
-			g.follower.StepBeacon(now, m.From, g.members.Rank(now, m.From), m.Beacon)
+			if g.hear(now, m.From, from) {
+				g.follower.StepBeacon(now, m.From, g.members.Rank(now, m.From), m.Beacon)
+			}
 		}
 	})
 }
 
+// hear reports whether the sender is known; a VM that is not gets a greeting.
+func (g *Gateway) hear(now fleet.Time, id fleet.VMID, from netip.AddrPort) bool {
+	if g.members.Hear(now, id) {
+		return true
+	}
+	g.mesh.Send(&mesh.Hello{Self: g.self}, from.String())
+	return false
+}
+
 func (g *Gateway) welcome(now fleet.Time, m *mesh.Welcome) {
 	for _, other := range m.Members {
 		g.members.Learn(now, other, false)
--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -17,6 +17,9 @@
 	greetInterval = 150 * time.Millisecond // between two greetings of one address while no VM is known
 	greetMember   = time.Second            // between two greetings of a member that is silent
 	greetSeeds    = 10 * time.Second       // between two greetings of the seeds by a VM that has members
+	gossipNew     = 300 * time.Millisecond // between two greetings of a heard member by a VM that has just started
+	gossipOld     = 2 * time.Second        // the same later; answers name VMs that this one has not met
+	newFor        = 5 * time.Second        // how long a VM counts as just started
 	silentAfter   = 2500 * time.Millisecond
 	forgetAfter   = 60 * time.Second
 	listedFor     = 10 * time.Second // members heard within this time are told to others
@@ -48,6 +51,8 @@
 	seeds    []string
 	rows     map[fleet.VMID]*member
 	greeted  fleet.Time // last greeting of the seeds
+	gossiped fleet.Time // last greeting of a heard member
+	turn     int        // of the heard members that are greeted one after the other
 	fleet    int        // largest number of VMs that another VM knew
 	events   []fleet.Event
 	hasStart bool
@@ -87,10 +92,34 @@
 			out = append(out, r.Addr)
 		}
 	}
+	if a := m.gossip(now); a != "" {
+		out = append(out, a)
+	}
 	slices.Sort(out)
 	return slices.Compact(out)
 }
 
+// gossip returns the address of the heard member whose turn it is to be greeted.
+// Two VMs that started at the same moment learn of each other in this way.
+func (m *Members) gossip(now fleet.Time) string {
+	interval := gossipOld
+	if now.Sub(m.started) < newFor {
+		interval = gossipNew
+	}
+	if now.Sub(m.gossiped) < interval {
+		return ""
+	}
+	zone, region := m.Peers(now)
+	peers := append(zone, region...)
+	if len(peers) == 0 {
+		return ""
+	}
+	slices.Sort(peers)
+	m.gossiped = now
+	m.turn++
+	return peers[m.turn%len(peers)]
+}
+
 // Lonely reports whether the VM has found no other VM for a while.
 func (m *Members) Lonely(now fleet.Time) bool {
 	return m.hasStart && now.Sub(m.started) > lonelyAfter && m.Heard(now) == 0
@@ -108,14 +137,17 @@
 
 func (r *member) live(now fleet.Time) bool { return r.heard != 0 && now.Sub(r.heard) <= silentAfter }
 
-// Hear notes a datagram of a VM whose row is known.
-func (m *Members) Hear(now fleet.Time, id fleet.VMID) {
-	if r := m.rows[id]; r != nil {
-		if !r.live(now) {
-			m.event("peer_found", id)
-		}
-		r.heard = max(now, 1)
+// Hear notes a datagram of a VM, and reports whether its row is known.
+func (m *Members) Hear(now fleet.Time, id fleet.VMID) bool {
+	r := m.rows[id]
+	if r == nil {
+		return false
+	}
+	if !r.live(now) {
+		m.event("peer_found", id)
 	}
+	r.heard = max(now, 1)
+	return true
 }
 
 // Learn adds a VM; direct tells that the VM itself spoke.
