Weigh late answers, bytes and risk by what they cost the user; log decisions

Cause: at a crest, requests went to servers believed failing at 0.9 while others had a short queue, since a late answer was priced like a lost one; at quiet times spreading sent bookings to suspects because failed trials, which are repeated, counted as failures of the service. Short deadlines of single routes counted as evidence against servers.

Change: weights of late answers and of bytes; beliefs recover over 10 s as episodes were seen to last 9 s; only final failures make the service spread; a timeout counts once the attempt was late. One log line for each request that did not go well, with the inputs of each choice.

Ruled out: stragglers (same share of 504 before and after).

--- a/pkg/balance/belief.go
+++ b/pkg/balance/belief.go
@@ -10,7 +10,7 @@
 // Rates of the two-state model of a server's health.
 const (
 	onsetRate   = 1.0 / 30 // a healthy server starts to fail, per second
-	recoverRate = 1.0 / 4  // a failing server recovers, per second
+	recoverRate = 1.0 / 10 // a failing server recovers, per second
 	usual       = onsetRate / (onsetRate + recoverRate)
 
 	// Bounds keep a belief movable by a few outcomes.
--- a/pkg/balance/budget.go
+++ b/pkg/balance/budget.go
@@ -9,8 +9,8 @@
 // Shares of the fleet's repeat budget that one VM uses. They leave room for the
 // part that a VM spent before it was replaced.
 const (
-	ratioShare = 0.75
-	slackShare = 0.5
+	ratioShare = 0.95
+	slackShare = 0.75
 )
 
 // budgetSteps is the number of steps of a sliding window.
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -14,9 +14,10 @@
 // Weights of the choice, in units of a served request.
 const (
 	repeatCost  = 0.35 // of a failure that can be repeated elsewhere, over one that cannot
-	lateCost    = 0.85 // of an answer after the latency objective
+	lateCost    = 0.4  // of an answer after the latency objective
 	loadCost    = 0.06 // of a server with all slots taken, below the cost of waiting
 	noise       = 0.01 // spreads equal servers
+	headersKB   = 0.5  // of a request's and an answer's headers together
 	coldPace    = 2.0  // pace of a server that is warming up
 	cutBelief   = 0.95 // of a server that this VM cannot connect to
 	suspectFrom = 0.3  // belief from which a server is a suspect
@@ -24,7 +25,7 @@
 
 // Trials of suspects and of servers that were not used for a while.
 const (
-	trialGap   = 500 * time.Millisecond // between two trials of a suspect by this VM
+	trialGap   = 800 * time.Millisecond // between two trials of a suspect by this VM
 	unusedGap  = 1 * time.Second        // after which a healthy server is tried again
 	trialLeft  = 2                      // repeats that must be left in the budget
 	trialTimes = 3                      // the time left must be this many times the work's
@@ -32,8 +33,8 @@
 
 // Spreading over servers while a service fails.
 const (
-	spreadFailures = 0.07 // share of failures from which requests are spread
-	spreadRisk     = 0.62 // belief of a server that failed about 2 s ago
+	spreadFailures = 0.09 // share of failures from which requests are spread
+	spreadRisk     = 0.8  // belief of a server that failed about 2 s ago
 	spreadUnused   = 1100 * time.Millisecond
 )
 
@@ -105,8 +106,9 @@
 	if room := time.Duration(share * float64(left)); best.wait+best.took/2 > room {
 		return pool.Decision{Work: w.ID, Code: result.NoCapacity, Retry: max(best.wait/2, minRetry)}
 	}
+	basis := pool.Basis{Risk: best.risk, Age: now.Sub(best.s.health.at), Load: best.s.load(), Wait: best.wait, Servers: len(offers)}
 	b.start(now, w, best.s)
-	return pool.Decision{Work: w.ID, Server: best.s.entry.Server, Trial: trial != nil}
+	return pool.Decision{Work: w.ID, Server: best.s.entry.Server, Trial: trial != nil, Basis: basis}
 }
 
 func (b *Balancer) offers(now fleet.Time, svc *service, w pool.Work) []offer {
@@ -165,7 +167,7 @@
 }
 
 func (b *Balancer) price(s *server, r *route, w pool.Work) float64 {
-	kb := float64(w.Bytes)/1024 + r.bytes.mean
+	kb := float64(w.Bytes)/1024 + r.bytes.mean + headersKB
 	switch s.distance {
 	case inRegion:
 		return kb * b.cfg.Prices.ZonePerKB
@@ -231,6 +233,6 @@
 func (b *Balancer) start(now fleet.Time, w pool.Work, s *server) {
 	s.local++
 	s.used = now
-	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, at: now}
+	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, at: now, final: !w.Idempotent || w.Repeats < 1}
 	b.zone.touch(now)
 }
--- a/pkg/balance/observe.go
+++ b/pkg/balance/observe.go
@@ -51,10 +51,10 @@
 	}
 	s.local = max(0, s.local-1)
 	o := outcomeOf(e.State)
-	if o == 0 {
-		return
+	if o == 0 || o == OutcomeTimeout && !a.late {
+		return // a short deadline says nothing about the server
 	}
-	obs := Observation{Server: a.server, Outcome: o}
+	obs := Observation{Server: a.server, Outcome: o, Final: a.final}
 	if o == OutcomeOK || o == OutcomeTimeout {
 		obs.Pace = float32(min(e.Duration.Seconds()/r.time().Seconds(), maxPace))
 	}
@@ -91,11 +91,9 @@
 	if o.Pace > 0 {
 		s.addPace(now, float64(o.Pace))
 	}
-	switch o.Outcome {
-	case OutcomeOK:
-		b.service(s.entry.Server.Service).failures.add(now, false)
-	case OutcomeFailed, OutcomeTimeout, OutcomeUnreachable:
-		b.service(s.entry.Server.Service).failures.add(now, true)
+	failed := o.Outcome == OutcomeFailed || o.Outcome == OutcomeTimeout
+	if failed && o.Final || o.Outcome == OutcomeOK {
+		b.service(s.entry.Server.Service).failures.add(now, failed)
 	}
 	b.noteChange(s, o, before, s.health.now(now), own)
 }
--- a/pkg/balance/table.go
+++ b/pkg/balance/table.go
@@ -42,6 +42,7 @@
 	service fleet.Service
 	route   string
 	at      fleet.Time
+	final   bool // a failure is not repeated elsewhere
 	late    bool
 }
 
--- a/pkg/balance/types.go
+++ b/pkg/balance/types.go
@@ -64,6 +64,7 @@
 	Server  fleet.ServerID `msgpack:"s"`
 	Outcome Outcome        `msgpack:"o"`
 	AgeMS   int64          `msgpack:"a,omitempty"` // milliseconds between the outcome and the report
+	Final   bool           `msgpack:"f,omitempty"` // the request is not repeated, so its caller gets this outcome
 	Pace    float32        `msgpack:"p,omitempty"` // duration over what is usual for the route; 0: unknown
 }
 
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -40,6 +40,16 @@
 	Trial  bool          // the server is on trial after an ejection
 	Queued time.Duration // how long the work waited
 	Retry  time.Duration // with a refusal: when to come back; 0 means no advice
+	Basis  Basis         // what the choice went by
+}
+
+// Basis is what a choice of a server went by, for logs.
+type Basis struct {
+	Risk    float64       // believed probability that the server is failing
+	Age     time.Duration // since the last outcome that moved the risk
+	Load    int           // requests believed to be at the server
+	Wait    time.Duration // expected in the server's queue
+	Servers int           // servers that could have been chosen
 }
 
 // EndState says how an attempt on a server ended.
--- a/pkg/proxy/answer.go
+++ b/pkg/proxy/answer.go
@@ -290,7 +290,7 @@
 
 // fail tells the caller a code and its outcome.
 func (x *exchange) fail(code result.Code, detail string) {
-	x.code = code
+	x.code, x.detail = code, detail
 	x.out.final()
 	info := code.Info()
 	x.status = info.HTTP
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -68,6 +68,7 @@
 	for try := 0; ; try++ {
 		d := x.acquire(sent, tried)
 		if d.Code != result.OK {
+			x.steps = append(x.steps, step{basis: d.Basis, at: time.Since(x.begun), code: d.Code})
 			if best != nil { // why the earlier attempt failed says more than the lack of another server
 				best.retry = max(best.retry, d.Retry)
 				return best
@@ -76,7 +77,10 @@
 			out.retry = d.Retry
 			return out
 		}
+		at := time.Since(x.begun)
 		out := x.attempt(base, d)
+		x.steps = append(x.steps, step{server: d.Server.ID, trial: d.Trial, basis: d.Basis, at: at,
+			took: time.Since(x.begun) - at, end: out.end, status: out.status(), code: out.code})
 		best = better(best, out)
 		if !out.unsent {
 			sent++
@@ -113,6 +117,14 @@
 	return now
 }
 
+// status returns the status of the server's answer, 0 without one.
+func (o *outcome) status() int {
+	if o.ans == nil {
+		return 0
+	}
+	return o.ans.status
+}
+
 // bytes returns the size of the answer's body as far as it is in memory.
 func (o *outcome) bytes() int {
 	if o.ans == nil {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -54,6 +54,11 @@
 	status int
 
 	retryAfter time.Duration // advice with a refusal; 0 means the default
+
+	steps    []step // decisions, for the log
+	revision uint64 // of the document that decided
+	allowed  time.Duration
+	detail   string
 }
 
 func (p *Proxy) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
@@ -76,6 +81,7 @@
 		x.body.release()
 	}
 	x.p.metrics.request(x.route.Route.Service, x.code, time.Since(x.begun))
+	x.tell()
 	if x.span.IsRecording() {
 		x.span.SetAttributes(attribute.Int("http.response.status_code", x.status), attribute.Int("fulmar.code", int(x.code)),
 			attribute.String("fulmar.route", x.route.Name))
@@ -110,6 +116,9 @@
 	if table == nil {
 		return result.Errorf(result.NotReady, "no configuration yet")
 	}
+	if index, ok := table.(*document.Index); ok {
+		x.revision = index.Revision
+	}
 	match, code := table.Route(x.r.Host, x.r.URL.Path, x.r.Method)
 	if code != result.OK {
 		return result.Errorf(code, "%s %s", x.r.Method, x.r.URL.Path)
@@ -134,6 +143,7 @@
 	if waits, ok := x.p.dialect.callerDeadline(x.r.Header); ok {
 		limit = min(limit, waits)
 	}
+	x.allowed = limit
 	x.deadline = x.p.engine.Now().Add(limit)
 	return x.readBody()
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -122,6 +123,7 @@
 	transports *transports
 	buffers    *budget
 	ids        *idSource
+	wellServed atomic.Uint64
 
 	mu       sync.Mutex
 	inFlight int
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -59,7 +59,7 @@
 	return &Gateway{
 		Shutdown: Shutdown{Grace: Duration(6 * time.Second), Leave: Duration(3 * time.Second)},
 		Repeats:  Repeats{Ratio: 0.1, Window: Duration(10 * time.Second), Slack: 0},
-		Prices:   Prices{ZonePerKB: 0.01, RegionPerKB: 0.08},
+		Prices:   Prices{ZonePerKB: 0.005, RegionPerKB: 0.04},
 		Limits:   Limits{Header: 32 * KiB, BodyBuffer: 64 * KiB, BodyBufferTotal: 64 * MiB},
 		Log:      Log{Level: "info", Format: "json"},
 		Tracing:  Tracing{SampleRatio: 0.01},
