Hand beliefs to new VMs and other regions; refuse only what fits nowhere

Cause: the cheapest server by risk could have a queue longer than the time left, and the request was refused though others had room; VMs that had just started and VMs that spilled to other regions knew nothing of the servers.

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -74,6 +74,7 @@
 	risk float64       // probability that the server fails the request
 	wait time.Duration // in the server's queue
 	took time.Duration // at the server, after the wait
+	fits bool          // the request can wait that long
 	cost float64
 }
 
@@ -83,7 +84,6 @@
 	if !w.IsRetry && len(w.Exclude) == 0 {
 		svc.repeats.request(now, b.cfg.Budget)
 	}
-	left := w.Deadline.Sub(now)
 	offers := b.offers(now, svc, w)
 	if len(offers) == 0 {
 		return pool.Decision{Work: w.ID, Code: result.NoServer, Retry: noServerFor}
@@ -102,9 +102,9 @@
 		best = trial
 		best.s.tried = now
 	}
-	share := waitShare[min(max(w.Priority, 0), len(waitShare)-1)]
-	if room := time.Duration(share * float64(left)); best.wait+best.took/2 > room {
-		return pool.Decision{Work: w.ID, Code: result.NoCapacity, Retry: max(best.wait/2, minRetry)}
+	if !best.fits {
+		basis := pool.Basis{Risk: best.risk, Load: best.s.load(), Wait: best.wait, Servers: len(offers)}
+		return pool.Decision{Work: w.ID, Code: result.NoCapacity, Retry: max(best.wait/2, minRetry), Basis: basis}
 	}
 	basis := pool.Basis{Risk: best.risk, Age: now.Sub(best.s.health.at), Load: best.s.load(), Wait: best.wait, Servers: len(offers)}
 	b.start(now, w, best.s)
@@ -153,6 +153,11 @@
 	if w.Idempotent && w.Repeats > 0 {
 		failure *= repeatCost
 	}
+	share := waitShare[min(max(w.Priority, 0), len(waitShare)-1)]
+	o.fits = o.wait+o.took/2 <= time.Duration(share*float64(w.Deadline.Sub(now)))
+	if !o.fits {
+		failure = 1
+	}
 	o.cost = failure + lateCost*lateness(o.wait+o.took, w.Objective) + loadCost*load/slots + b.price(s, r, w)
 	return o
 }
--- a/pkg/balance/observe.go
+++ b/pkg/balance/observe.go
@@ -87,6 +87,7 @@
 	// A server that is full sheds for its load; only one with free slots is suspect.
 	if o.Outcome != OutcomeShed || s.load() < s.entry.Slots/2 {
 		s.health.observe(at, o.Outcome)
+		s.seen = max(s.seen, at)
 	}
 	if o.Pace > 0 {
 		s.addPace(now, float64(o.Pace))
--- a/pkg/balance/table.go
+++ b/pkg/balance/table.go
@@ -25,8 +25,10 @@
 	pace     float64 // duration of its work over what is usual for the route
 	paceAt   fleet.Time
 
-	local     int // this VM's requests in flight
-	remote    int // those of other VMs, by their last reports
+	local     int        // this VM's requests in flight
+	remote    int        // those of other VMs, by their last reports
+	elsewhere int        // those of other regions' VMs, by the last digest
+	seen      fleet.Time // last outcome that a VM of the region saw; 0 for none
 	used      fleet.Time
 	tried     fleet.Time // last trial by this VM
 	warmUntil fleet.Time
@@ -183,7 +185,7 @@
 }
 
 // load returns the requests at the server as far as this VM knows.
-func (s *server) load() int { return s.local + s.remote }
+func (s *server) load() int { return s.local + s.remote + s.elsewhere }
 
 // rng is a small seeded generator, so that the same calls give the same choices.
 type rng uint64
--- a/pkg/gateway/flush.go
+++ b/pkg/gateway/flush.go
@@ -19,9 +19,19 @@
 // that found no other VM.
 const searchInterval = 2 * time.Second
 
+// freshFor is how long a VM that has just started asks for the region's beliefs.
+const freshFor = 3 * time.Second
+
+// digestInterval is the pause between two digests to the other regions.
+const digestInterval = 700 * time.Millisecond
+
 // flush passes on what the deterministic state produced. The caller holds the lock.
 func (g *Gateway) flush(now fleet.Time) {
 	g.balance.Apply(now, g.follower.Changes())
+	if g.digest != nil && g.follower.Ready() {
+		g.balance.StepDigest(now, g.digest)
+		g.digest = nil
+	}
 	if d := g.follower.NewDocument(); d != nil {
 		g.index.Store(document.NewIndex(d.Doc, d.Revision))
 		g.log.Info("configuration applied", "revision", d.Revision, "routes", countRoutes(d.Doc))
@@ -144,11 +154,23 @@
 	})
 }
 
+// tellRegions sends the region's beliefs to the other regions.
+func (g *Gateway) tellRegions(now fleet.Time) {
+	if !g.follower.Reading() || now.Sub(g.digestAt) < digestInterval {
+		return
+	}
+	g.digestAt = now
+	if digest := g.balance.Digest(now); len(digest) > 0 {
+		g.mesh.Send(&mesh.Digest{Region: g.self.Region, Relay: true, Digest: digest}, g.members.Delegates(now)...)
+	}
+}
+
 // greet sends the greetings that are due and keeps what depends on the members.
 func (g *Gateway) greet(now fleet.Time) {
 	if greetings := g.members.Greetings(now); len(greetings) > 0 && !g.draining.Load() {
-		g.mesh.Send(&mesh.Hello{Self: g.self}, greetings...)
+		g.mesh.Send(&mesh.Hello{Self: g.self, Fresh: time.Duration(now) < freshFor}, greetings...)
 	}
+	g.tellRegions(now)
 	g.follower.SetRank(g.members.Rank(now, g.self.ID))
 	g.balance.SetVMs(g.members.Fleet())
 }
@@ -160,13 +182,25 @@
 		case *mesh.Hello:
 			g.members.Learn(now, m.Self, true)
 			list, known := g.members.Listed(now, m.Self.Region)
-			g.mesh.Send(&mesh.Welcome{Self: g.self, Members: list, Fleet: known, Ready: g.follower.Ready()}, from.String())
+			w := &mesh.Welcome{Self: g.self, Members: list, Fleet: known, Ready: g.follower.Ready()}
+			if m.Fresh {
+				w.Digest = g.balance.Digest(now)
+			}
+			g.mesh.Send(w, from.String())
 		case *mesh.Welcome:
 			g.welcome(now, m)
 		case *mesh.Report:
 			if g.hear(now, m.From, from) {
 				g.balance.StepReport(now, m.From, m.Report)
 			}
+		case *mesh.Digest:
+			g.balance.StepDigest(now, m.Digest)
+			if m.Relay && m.Region != g.self.Region {
+				zone, region := g.members.Peers(now)
+				relayed := &mesh.Digest{Region: m.Region, Digest: m.Digest}
+				g.mesh.Send(relayed, zone...)
+				g.mesh.Send(relayed, region...)
+			}
 		case *mesh.Beacon:
 			if g.hear(now, m.From, from) {
 				g.follower.StepBeacon(now, m.From, g.members.Rank(now, m.From), m.Beacon)
@@ -190,6 +224,9 @@
 	}
 	g.members.Learn(now, m.Self, true)
 	g.members.SetFleet(m.Fleet)
+	if len(m.Digest) > 0 && m.Self.Region == g.self.Region {
+		g.digest = m.Digest
+	}
 	if m.Ready {
 		g.follower.Offer(now, m.Self.ID)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -79,6 +79,8 @@
 	announcing bool
 	searching  bool
 	searchedAt fleet.Time
+	digest     []balance.Belief // of a VM of the region, until there are servers to apply it to
+	digestAt   fleet.Time       // last digest to other regions
 }
 
 type listener struct {
--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -23,6 +23,7 @@
 	silentAfter   = 2500 * time.Millisecond
 	forgetAfter   = 60 * time.Second
 	listedFor     = 10 * time.Second // members heard within this time are told to others
+	delegateFor   = 15 * time.Second // a VM of another region that was heard within this time stands for its region
 	lonelyAfter   = time.Second      // a VM without members asks the store for addresses after this time
 )
 
@@ -186,6 +187,32 @@
 	return list, known
 }
 
+// Delegates returns the address of one VM of each other region that was heard lately.
+func (m *Members) Delegates(now fleet.Time) []string {
+	best := make(map[fleet.Region]*member)
+	for _, r := range m.rows {
+		if r.Region == m.self.Region || r.heard <= 1 || now.Sub(r.heard) > delegateFor {
+			continue
+		}
+		if b := best[r.Region]; b == nil || r.heard > b.heard || r.heard == b.heard && r.ID < b.ID {
+			best[r.Region] = r
+		}
+	}
+	out := make([]string, 0, len(best))
+	for _, r := range best {
+		out = append(out, r.Addr)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Delegate adds a VM of another region that answers for its region.
+func (m *Members) Delegate(now fleet.Time, v Member) {
+	if v.Region != m.self.Region {
+		m.Learn(now, v, true)
+	}
+}
+
 // SetFleet notes how many VMs another VM knows.
 func (m *Members) SetFleet(n int) { m.fleet = max(m.fleet, n) }
 
--- a/pkg/mesh/messages.go
+++ b/pkg/mesh/messages.go
@@ -15,19 +15,30 @@
 	kindBeacon  fleet.Kind = 604
 	kindAsk     fleet.Kind = 605
 	kindCopy    fleet.Kind = 606
+	kindDigest  fleet.Kind = 607
 )
 
 // Hello greets a VM.
 type Hello struct {
-	Self Member `msgpack:"s"`
+	Self  Member `msgpack:"s"`
+	Fresh bool   `msgpack:"f"` // the VM has just started and knows nothing of the servers
 }
 
 // Welcome answers a greeting with the VMs of the greeter's region.
 type Welcome struct {
-	Self    Member   `msgpack:"s"`
-	Members []Member `msgpack:"m"`
-	Fleet   int      `msgpack:"f"` // VMs of the fleet that the sender knows
-	Ready   bool     `msgpack:"r"` // the sender has a copy of the state to give
+	Self    Member           `msgpack:"s"`
+	Members []Member         `msgpack:"m"`
+	Fleet   int              `msgpack:"f"` // VMs of the fleet that the sender knows
+	Ready   bool             `msgpack:"r"` // the sender has a copy of the state to give
+	Digest  []balance.Belief `msgpack:"d"` // what the sender's region believes of its servers
+}
+
+// Digest tells other regions what a region believes of its servers. The VM that gets
+// it from another region passes it on to the VMs of its own.
+type Digest struct {
+	Region fleet.Region     `msgpack:"r"`
+	Relay  bool             `msgpack:"y"` // to be passed on
+	Digest []balance.Belief `msgpack:"d"`
 }
 
 // Report carries a balancer's report.
@@ -59,6 +70,7 @@
 func (*Beacon) Kind() fleet.Kind  { return kindBeacon }
 func (*Ask) Kind() fleet.Kind     { return kindAsk }
 func (*Copy) Kind() fleet.Kind    { return kindCopy }
+func (*Digest) Kind() fleet.Kind  { return kindDigest }
 
 func init() {
 	wire.Register(func() fleet.Message { return new(Hello) })
@@ -67,4 +79,5 @@
 	wire.Register(func() fleet.Message { return new(Beacon) })
 	wire.Register(func() fleet.Message { return new(Ask) })
 	wire.Register(func() fleet.Message { return new(Copy) })
+	wire.Register(func() fleet.Message { return new(Digest) })
 }
