Concentrate requests on fewer servers while slots are free

Cause: each server that takes bookings loses one when it starts to fail, so fewer servers in use lose fewer.

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -15,7 +15,9 @@
 const (
 	repeatCost  = 0.35 // of a failure that can be repeated elsewhere, over one that cannot
 	lateCost    = 0.4  // of an answer after the latency objective
-	loadCost    = 0.06 // of a server with all slots taken, below the cost of waiting
+	loadCost    = 0.02 // of a server with all slots taken, below the cost of waiting
+	fullCost    = 0.15 // of the part of the slots taken beyond busyFrom
+	busyFrom    = 0.7
 	noise       = 0.01 // spreads equal servers
 	headersKB   = 0.5  // of a request's and an answer's headers together
 	coldPace    = 2.0  // pace of a server that is warming up
@@ -158,7 +160,7 @@
 	if !o.fits {
 		failure = 1
 	}
-	o.cost = failure + lateCost*lateness(o.wait+o.took, w.Objective) + loadCost*load/slots + b.price(s, r, w)
+	o.cost = failure + lateCost*lateness(o.wait+o.took, w.Objective) + loadCost*load/slots + fullCost*max(0, load/slots-busyFrom) + b.price(s, r, w)
 	return o
 }
 
