--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -178,7 +178,7 @@
 		go func() { failed <- g.meters.server.Serve(g.meters.Listener) }()
 	}
 	go g.tickLoop()
-	g.log.Info("started", "vm", g.self.ID, "zone", g.self.Zone, "callers", g.callers.Addr().String(), "links", g.mesh.Addr())
+	g.log.Info("started", "vm", g.self.ID, "seeds", seedAddresses(g.cfg.Settings), "zone", g.self.Zone, "callers", g.callers.Addr().String(), "links", g.mesh.Addr())
 	select {
 	case err := <-failed:
 		return errors.Annotate(err, "listener")
