Exchange digests between zones; count a service's failures over the fleet

Change: a zone's first VM sends a digest of its servers and its share of failures to one VM of each other zone, which passes it on; unused servers that are believed healthy are kept in use.

--- a/pkg/balance/belief.go
+++ b/pkg/balance/belief.go
@@ -81,15 +81,6 @@
 	}
 }
 
-// share returns the share of failures, 0 while there are few outcomes.
-func (r *ratio) share(now fleet.Time) float64 {
-	r.decay(now)
-	if r.all < minOutcomes || r.failed < minFailures {
-		return 0
-	}
-	return r.failed / r.all
-}
-
 // Weights of outcomes and of failures from which a ratio says something.
 const (
 	minOutcomes = 6
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -35,7 +35,8 @@
 
 // Spreading over servers while a service fails.
 const (
-	spreadFailures = 0.09 // share of failures from which requests are spread
+	coverRisk      = 0.1  // belief up to which an unused server is used at any time
+	spreadFailures = 0.08 // share of failures from which requests are spread
 	spreadRisk     = 0.8  // belief of a server that failed about 2 s ago
 	spreadUnused   = 1100 * time.Millisecond
 )
@@ -206,17 +207,20 @@
 	return found
 }
 
-// spread returns a server that nobody has used for a while, while a service fails
-// more often than usual. Beliefs are then worth less, and avoiding servers because of
-// them must not take the service's capacity below its floor.
+// spread returns a server that nobody has used for a while. Healthy ones are kept in
+// use. While a service fails more often than usual, beliefs are worth less, and
+// avoiding servers because of them must not take the service's capacity below its
+// floor: then those that failed some time ago are used again too.
 func (b *Balancer) spread(now fleet.Time, svc *service, offers []offer, best *offer) *offer {
-	if svc.failures.share(now) < spreadFailures {
-		return nil
+	most := coverRisk
+	if svc.failing(now) >= spreadFailures {
+		most = spreadRisk
 	}
 	var found *offer
 	for i := range offers {
 		o := &offers[i]
-		if o == best || o.s.distance != inZone || o.risk > spreadRisk || o.s.load() > 0 || now < o.s.cutUntil || now.Sub(o.s.used) < spreadUnused {
+		home := o.s.distance == inZone || b.covered[o.s.entry.Server.Zone]
+		if o == best || !home || o.risk > most || o.s.load() > 0 || now < o.s.cutUntil || now.Sub(o.s.used) < spreadUnused {
 			continue
 		}
 		if found == nil || o.risk < found.risk {
--- a/pkg/balance/digest.go
+++ b/pkg/balance/digest.go
@@ -8,47 +8,111 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 )
 
-// A digest says what a region believes of its servers. VMs that have just started and
-// VMs of other regions take it over for servers that they know nothing of.
+// A digest says what a zone believes of its servers. VMs that have just started and
+// VMs of other zones take it over for servers that they have seen nothing of lately.
 
-// digestFresh is how long an outcome of a VM's own region outweighs a digest.
-const digestFresh = time.Second
+const (
+	// digestFresh is how long an outcome that this VM saw outweighs a digest.
+	digestFresh = time.Second
+	// ratioFresh is how long another zone's share of failures counts.
+	ratioFresh = 3 * time.Second
+	// digestLeast is the difference from the usual belief from which a server is told.
+	digestLeast = 0.03
+)
+
+// Digest is what the VMs of one zone know of its servers and of services.
+type Digest struct {
+	_msgpack struct{} `msgpack:",as_array"`
 
-// digestLeast is the difference from the usual belief from which a server is told.
-const digestLeast = 0.05
+	Zone     fleet.Zone
+	Beliefs  []Belief
+	Services []Share
+}
 
-// Belief is what a region believes of one server.
+// Belief is what a zone believes of one of its servers.
 type Belief struct {
-	Server fleet.ServerID `msgpack:"s"`
-	Risk   float32        `msgpack:"r"` // probability that the server is failing
-	Load   int            `msgpack:"l,omitempty"`
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Server fleet.ServerID
+	Risk   float32 // probability that the server is failing
+	Load   int     // requests at the server
+}
+
+// Share is how many of a service's requests failed lately, as one zone saw it. Older
+// outcomes count less.
+type Share struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Service fleet.Service
+	Failed  float32
+	All     float32
 }
 
-// Digest returns the beliefs of the region's servers that differ from the usual one.
-func (b *Balancer) Digest(now fleet.Time) []Belief {
-	var out []Belief
+// share is a Share of another zone.
+type share struct {
+	Share
+	heard fleet.Time
+}
+
+// Digest returns what this VM knows of its zone.
+func (b *Balancer) Digest(now fleet.Time) Digest {
+	d := Digest{Zone: b.cfg.Zone}
 	for id, s := range b.servers {
 		risk := s.health.now(now)
-		if s.distance == otherRegion || risk < usual+digestLeast && risk > usual-digestLeast {
+		if s.distance != inZone || s.load() == 0 && risk < usual+digestLeast && risk > usual-digestLeast {
 			continue
 		}
-		out = append(out, Belief{id, float32(risk), s.load()})
+		d.Beliefs = append(d.Beliefs, Belief{Server: id, Risk: float32(risk), Load: s.load()})
+	}
+	slices.SortFunc(d.Beliefs, func(x, y Belief) int { return cmp.Compare(x.Server, y.Server) })
+	for name, svc := range b.services {
+		if svc.failures.decay(now); svc.failures.all > digestLeast {
+			d.Services = append(d.Services, Share{Service: name, Failed: float32(svc.failures.failed), All: float32(svc.failures.all)})
+		}
 	}
-	slices.SortFunc(out, func(x, y Belief) int { return cmp.Compare(x.Server, y.Server) })
-	return out
+	slices.SortFunc(d.Services, func(x, y Share) int { return cmp.Compare(x.Service, y.Service) })
+	return d
 }
 
-// StepDigest takes a digest over for the servers that this VM's region has seen
-// nothing of lately.
-func (b *Balancer) StepDigest(now fleet.Time, digest []Belief) {
-	for _, d := range digest {
-		s := b.servers[d.Server]
-		if s == nil || s.seen != 0 && now.Sub(s.seen) < digestFresh || !(d.Risk >= 0 && d.Risk <= 1) {
+// StepDigest takes over what another VM knows of its zone.
+func (b *Balancer) StepDigest(now fleet.Time, d Digest) {
+	for _, e := range d.Beliefs {
+		s := b.servers[e.Server]
+		if s == nil || !(e.Risk >= 0 && e.Risk <= 1) {
 			continue
 		}
-		s.health = belief{min(max(float64(d.Risk), minBelief), maxBelief), now}
-		if s.distance == otherRegion {
-			s.elsewhere = max(0, d.Load)
+		if s.distance != inZone {
+			s.elsewhere, s.elsewhereAt = max(0, e.Load-s.local), now
+		}
+		if s.seen == 0 || now.Sub(s.seen) >= digestFresh {
+			s.health = belief{min(max(float64(e.Risk), minBelief), maxBelief), now}
+		}
+	}
+	if d.Zone == b.cfg.Zone {
+		return
+	}
+	for _, e := range d.Services {
+		svc := b.service(e.Service)
+		if svc.zones == nil {
+			svc.zones = make(map[fleet.Zone]share)
+		}
+		svc.zones[d.Zone] = share{e, now}
+	}
+}
+
+// failing returns the share of a service's requests that fail, over all zones that
+// were heard lately; 0 while there are few outcomes.
+func (s *service) failing(now fleet.Time) float64 {
+	s.failures.decay(now)
+	failed, all := s.failures.failed, s.failures.all
+	for _, z := range s.zones {
+		if now.Sub(z.heard) <= ratioFresh {
+			failed += float64(z.Failed)
+			all += float64(z.All)
 		}
 	}
+	if all < minOutcomes || failed < minFailures {
+		return 0
+	}
+	return failed / all
 }
--- a/pkg/balance/observe.go
+++ b/pkg/balance/observe.go
@@ -61,12 +61,12 @@
 	if o == OutcomeOK && s.health.now(now) < suspectFrom {
 		r.took.add(e.Duration)
 	}
-	b.observe(now, s, obs, true)
-	b.tell(now, obs)
+	b.observe(now, s, obs, true, true)
+	b.tell(now, s, obs)
 }
 
 // observe moves what is believed of a server.
-func (b *Balancer) observe(now fleet.Time, s *server, o Observation, own bool) {
+func (b *Balancer) observe(now fleet.Time, s *server, o Observation, own, fromZone bool) {
 	at := now.Add(-time.Duration(o.AgeMS) * time.Millisecond)
 	before := s.health.now(now)
 	switch o.Outcome {
@@ -93,7 +93,7 @@
 		s.addPace(now, float64(o.Pace))
 	}
 	failed := o.Outcome == OutcomeFailed || o.Outcome == OutcomeTimeout
-	if failed && o.Final || o.Outcome == OutcomeOK {
+	if (failed && o.Final || o.Outcome == OutcomeOK) && (own || fromZone) {
 		b.service(s.entry.Server.Service).failures.add(now, failed)
 	}
 	b.noteChange(s, o, before, s.health.now(now), own)
@@ -124,8 +124,13 @@
 		a.late = true
 		if s := b.servers[a.server]; s != nil {
 			obs := Observation{Server: a.server, Outcome: OutcomeLate, Pace: float32(now.Sub(a.at).Seconds() / b.route(a.route).time().Seconds())}
-			b.observe(now, s, obs, true)
-			b.tell(now, obs)
+			b.observe(now, s, obs, true, true)
+			b.tell(now, s, obs)
+		}
+	}
+	for _, s := range b.servers {
+		if s.elsewhere != 0 && now.Sub(s.elsewhereAt) > peerSilence {
+			s.elsewhere = 0
 		}
 	}
 	for id, p := range b.peers {
@@ -158,7 +163,7 @@
 		if o.Outcome == OutcomeOK || o.Outcome == OutcomeFailed || o.Outcome == OutcomeTimeout {
 			s.used = max(s.used, now.Add(-time.Duration(o.AgeMS)*time.Millisecond))
 		}
-		b.observe(now, s, o, false)
+		b.observe(now, s, o, false, r.Zone == b.cfg.Zone)
 	}
 }
 
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -14,7 +14,7 @@
 	zoneReport   = 15 * time.Millisecond // after a change, to the zone
 	zoneIdle     = 400 * time.Millisecond
 	regionReport = 80 * time.Millisecond // after a change, to the region's other zones
-	regionIdle   = 800 * time.Millisecond
+	regionIdle   = time.Second
 	urgentReport = 2 * time.Millisecond // after a failure
 )
 
@@ -52,11 +52,12 @@
 	}
 }
 
-// tell passes an own observation on.
-func (b *Balancer) tell(now fleet.Time, o Observation) {
+// tell passes an own observation on. Other zones get each outcome of their own
+// servers and the failures of this zone's; for the rest digests are enough.
+func (b *Balancer) tell(now fleet.Time, s *server, o Observation) {
 	urgent := o.Outcome != OutcomeOK
 	b.zone.add(now, o, urgent)
-	if o.Outcome != OutcomeUnreachable {
+	if s.distance == inRegion || urgent && s.distance == inZone && o.Outcome != OutcomeUnreachable {
 		b.region.add(now, o, urgent)
 	}
 }
@@ -70,7 +71,7 @@
 	if (o.due == 0 || now < o.due) && now.Sub(o.sent) < o.idle {
 		return nil
 	}
-	r := &Report{Leaving: b.leaving}
+	r := &Report{Zone: b.cfg.Zone, Leaving: b.leaving}
 	for _, obs := range o.observations {
 		obs.o.AgeMS = now.Sub(obs.at).Milliseconds()
 		r.Observations = append(r.Observations, obs.o)
@@ -80,12 +81,13 @@
 	return r
 }
 
-// loads returns this VM's load at the servers that the scope's VMs share.
-func (b *Balancer) loads(Scope) []Load {
+// loads returns this VM's load: for the zone all of it, for other zones that at
+// servers outside this one.
+func (b *Balancer) loads(scope Scope) []Load {
 	var out []Load
 	for id, s := range b.servers {
-		if s.local > 0 {
-			out = append(out, Load{id, s.local})
+		if s.local > 0 && (scope == ScopeZone || s.distance == inRegion) {
+			out = append(out, Load{Server: id, InFlight: s.local})
 		}
 	}
 	slices.SortFunc(out, func(x, y Load) int { return cmp.Compare(x.Server, y.Server) })
--- a/pkg/balance/table.go
+++ b/pkg/balance/table.go
@@ -25,17 +25,18 @@
 	pace     float64 // duration of its work over what is usual for the route
 	paceAt   fleet.Time
 
-	local     int        // this VM's requests in flight
-	remote    int        // those of other VMs, by their last reports
-	elsewhere int        // those of other regions' VMs, by the last digest
-	seen      fleet.Time // last outcome that a VM of the region saw; 0 for none
-	used      fleet.Time
-	tried     fleet.Time // last trial by this VM
-	warmUntil fleet.Time
-	fullUntil fleet.Time // the server shed a request
-	leftUntil fleet.Time // the server said that it is leaving
-	cutUntil  fleet.Time // no connection from this VM
-	cuts      int        // failed connections in a row
+	local       int // this VM's requests in flight
+	remote      int // those of other VMs, by their last reports
+	elsewhere   int // those of other zones' VMs, by the last digest
+	elsewhereAt fleet.Time
+	seen        fleet.Time // last outcome that a VM of the region saw; 0 for none
+	used        fleet.Time
+	tried       fleet.Time // last trial by this VM
+	warmUntil   fleet.Time
+	fullUntil   fleet.Time // the server shed a request
+	leftUntil   fleet.Time // the server said that it is leaving
+	cutUntil    fleet.Time // no connection from this VM
+	cuts        int        // failed connections in a row
 }
 
 // attempt is a request in flight at a server.
@@ -52,7 +53,8 @@
 type service struct {
 	servers  map[fleet.ServerID]*server
 	repeats  repeats
-	failures ratio // of the attempts that the region's VMs saw
+	failures ratio                // of the requests of this zone's VMs
+	zones    map[fleet.Zone]share // failures that other zones saw
 }
 
 // peer is one row of the table of other VMs.
@@ -77,7 +79,8 @@
 	peers    map[fleet.VMID]*peer
 	routes   map[string]*route
 	attempts map[pool.WorkID]*attempt
-	vms      int // VMs of the fleet, as far as known
+	covered  map[fleet.Zone]bool // zones whose servers this zone's VMs keep in use
+	vms      int                 // VMs of the fleet, as far as known
 
 	zone, region outlet
 	leaving      bool
@@ -102,6 +105,10 @@
 // SetVMs sets the number of VMs that share the fleet's repeat budget.
 func (b *Balancer) SetVMs(n int) { b.vms = max(n, 1) }
 
+// SetCovered sets the zones whose servers this zone's VMs keep in use besides their
+// own: those in which no VM is heard.
+func (b *Balancer) SetCovered(zones map[fleet.Zone]bool) { b.covered = zones }
+
 // SetLeaving makes the next reports say that this VM shuts down.
 func (b *Balancer) SetLeaving() { b.leaving = true }
 
@@ -185,7 +192,7 @@
 }
 
 // load returns the requests at the server as far as this VM knows.
-func (s *server) load() int { return s.local + s.remote + s.elsewhere }
+func (s *server) load() int { return s.local + max(s.remote, s.elsewhere) }
 
 // rng is a small seeded generator, so that the same calls give the same choices.
 type rng uint64
--- a/pkg/balance/types.go
+++ b/pkg/balance/types.go
@@ -61,22 +61,27 @@
 
 // Observation is an outcome that a VM saw.
 type Observation struct {
-	Server  fleet.ServerID `msgpack:"s"`
-	Outcome Outcome        `msgpack:"o"`
-	AgeMS   int64          `msgpack:"a,omitempty"` // milliseconds between the outcome and the report
-	Final   bool           `msgpack:"f,omitempty"` // the request is not repeated, so its caller gets this outcome
-	Pace    float32        `msgpack:"p,omitempty"` // duration over what is usual for the route; 0: unknown
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Server  fleet.ServerID
+	Outcome Outcome
+	AgeMS   int64   // milliseconds between the outcome and the report
+	Final   bool    // the request is not repeated, so its caller gets this outcome
+	Pace    float32 // duration over what is usual for the route; 0: unknown
 }
 
 // Load is the number of requests that a VM has at a server.
 type Load struct {
-	Server   fleet.ServerID `msgpack:"s"`
-	InFlight int            `msgpack:"n"`
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Server   fleet.ServerID
+	InFlight int
 }
 
 // Report tells other VMs what this one saw since its last report to them, and its
 // whole load.
 type Report struct {
+	Zone         fleet.Zone    `msgpack:"z"`
 	Loads        []Load        `msgpack:"l,omitempty"`
 	Observations []Observation `msgpack:"o,omitempty"`
 	Leaving      bool          `msgpack:"x,omitempty"` // the VM shuts down and takes no more requests
--- a/pkg/gateway/flush.go
+++ b/pkg/gateway/flush.go
@@ -22,14 +22,18 @@
 // freshFor is how long a VM that has just started asks for the region's beliefs.
 const freshFor = 3 * time.Second
 
-// digestInterval is the pause between two digests to the other regions.
-const digestInterval = 700 * time.Millisecond
+// Pauses between two digests, and between two looks at the zones without a VM.
+const (
+	digestNear    = 250 * time.Millisecond // to the region's other zones
+	digestFar     = 2 * time.Second // to other regions
+	coverInterval = 250 * time.Millisecond
+)
 
 // flush passes on what the deterministic state produced. The caller holds the lock.
 func (g *Gateway) flush(now fleet.Time) {
 	g.balance.Apply(now, g.follower.Changes())
 	if g.digest != nil && g.follower.Ready() {
-		g.balance.StepDigest(now, g.digest)
+		g.balance.StepDigest(now, *g.digest)
 		g.digest = nil
 	}
 	if d := g.follower.NewDocument(); d != nil {
@@ -154,23 +158,50 @@
 	})
 }
 
-// tellRegions sends the region's beliefs to the other regions.
-func (g *Gateway) tellRegions(now fleet.Time) {
-	if !g.follower.Reading() || now.Sub(g.digestAt) < digestInterval {
+// tellZones sends the zone's beliefs to one VM of each other zone. The zone's first VM
+// does so for all.
+func (g *Gateway) tellZones(now fleet.Time) {
+	near, far := now.Sub(g.digestAt) >= digestNear, now.Sub(g.digestFar) >= digestFar
+	if !near || g.members.ZoneRank(now) > 0 {
 		return
 	}
 	g.digestAt = now
-	if digest := g.balance.Digest(now); len(digest) > 0 {
-		g.mesh.Send(&mesh.Digest{Region: g.self.Region, Relay: true, Digest: digest}, g.members.Delegates(now)...)
+	m := &mesh.Digest{From: g.self.ID, Relay: true, Digest: g.balance.Digest(now)}
+	region, other := g.members.Delegates(now)
+	g.mesh.Send(m, region...)
+	if far {
+		g.digestFar = now
+		g.mesh.Send(m, other...)
 	}
 }
 
+// cover sets the zones whose servers this VM's zone keeps in use: the region's zones
+// without a VM belong to the first zone that has one.
+func (g *Gateway) cover(now fleet.Time) {
+	live := g.members.LiveZones(now)
+	first := g.self.Zone
+	for zone := range live {
+		first = min(first, zone)
+	}
+	covered := make(map[fleet.Zone]bool)
+	for zone, region := range g.cfg.Settings.Zones {
+		if z := fleet.Zone(zone); first == g.self.Zone && fleet.Region(region) == g.self.Region && !live[z] {
+			covered[z] = true
+		}
+	}
+	g.balance.SetCovered(covered)
+}
+
 // greet sends the greetings that are due and keeps what depends on the members.
 func (g *Gateway) greet(now fleet.Time) {
 	if greetings := g.members.Greetings(now); len(greetings) > 0 && !g.draining.Load() {
 		g.mesh.Send(&mesh.Hello{Self: g.self, Fresh: time.Duration(now) < freshFor}, greetings...)
 	}
-	g.tellRegions(now)
+	g.tellZones(now)
+	if now.Sub(g.coveredAt) >= coverInterval {
+		g.coveredAt = now
+		g.cover(now)
+	}
 	g.follower.SetRank(g.members.Rank(now, g.self.ID))
 	g.balance.SetVMs(g.members.Fleet())
 }
@@ -184,7 +215,8 @@
 			list, known := g.members.Listed(now, m.Self.Region)
 			w := &mesh.Welcome{Self: g.self, Members: list, Fleet: known, Ready: g.follower.Ready()}
 			if m.Fresh {
-				w.Digest = g.balance.Digest(now)
+				d := g.balance.Digest(now)
+				w.Digest = &d
 			}
 			g.mesh.Send(w, from.String())
 		case *mesh.Welcome:
@@ -194,12 +226,11 @@
 				g.balance.StepReport(now, m.From, m.Report)
 			}
 		case *mesh.Digest:
+			g.members.Hear(now, m.From)
 			g.balance.StepDigest(now, m.Digest)
-			if m.Relay && m.Region != g.self.Region {
-				zone, region := g.members.Peers(now)
-				relayed := &mesh.Digest{Region: m.Region, Digest: m.Digest}
-				g.mesh.Send(relayed, zone...)
-				g.mesh.Send(relayed, region...)
+			if m.Relay {
+				zone, _ := g.members.Peers(now)
+				g.mesh.Send(&mesh.Digest{From: g.self.ID, Digest: m.Digest}, zone...)
 			}
 		case *mesh.Beacon:
 			if g.hear(now, m.From, from) {
@@ -224,7 +255,7 @@
 	}
 	g.members.Learn(now, m.Self, true)
 	g.members.SetFleet(m.Fleet)
-	if len(m.Digest) > 0 && m.Self.Region == g.self.Region {
+	if m.Digest != nil && m.Self.Zone == g.self.Zone {
 		g.digest = m.Digest
 	}
 	if m.Ready {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -79,8 +79,10 @@
 	announcing bool
 	searching  bool
 	searchedAt fleet.Time
-	digest     []balance.Belief // of a VM of the region, until there are servers to apply it to
-	digestAt   fleet.Time       // last digest to other regions
+	digest     *balance.Digest // of a VM of the zone, until there are servers to apply it to
+	digestAt   fleet.Time      // last digest to the region's other zones
+	digestFar  fleet.Time      // last digest to other regions
+	coveredAt  fleet.Time
 }
 
 type listener struct {
--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -88,7 +88,7 @@
 			delete(m.rows, id)
 			continue
 		}
-		if r.Region == m.self.Region && !r.live(now) && (r.greeted == 0 || now.Sub(r.greeted) >= greetMember) {
+		if (r.Region == m.self.Region && !r.live(now) || r.heard == 0) && (r.greeted == 0 || now.Sub(r.greeted) >= greetMember) {
 			r.greeted = max(now, 1)
 			out = append(out, r.Addr)
 		}
@@ -183,34 +183,64 @@
 			list = append(list, r.Member)
 		}
 	}
+	// One VM of each zone elsewhere, so that digests reach the other regions.
+	for _, r := range m.newest(now, func(r *member) bool { return r.Region != region }) {
+		list = append(list, r.Member)
+	}
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return list, known
 }
 
-// Delegates returns the address of one VM of each other region that was heard lately.
-func (m *Members) Delegates(now fleet.Time) []string {
-	best := make(map[fleet.Region]*member)
+// Delegates returns the address of one VM of each other zone, for the zones of this
+// region and for those of the others. It is the VM that was heard last.
+func (m *Members) Delegates(now fleet.Time) (region, far []string) {
+	for _, r := range m.newest(now, func(r *member) bool { return r.Zone != m.self.Zone }) {
+		if r.Region == m.self.Region {
+			region = append(region, r.Addr)
+		} else {
+			far = append(far, r.Addr)
+		}
+	}
+	slices.Sort(region)
+	slices.Sort(far)
+	return region, far
+}
+
+// newest returns the VM that was heard last of each zone, among those that match.
+func (m *Members) newest(now fleet.Time, match func(*member) bool) map[fleet.Zone]*member {
+	best := make(map[fleet.Zone]*member)
 	for _, r := range m.rows {
-		if r.Region == m.self.Region || r.heard <= 1 || now.Sub(r.heard) > delegateFor {
+		if r.heard <= 1 || now.Sub(r.heard) > delegateFor || !match(r) {
 			continue
 		}
-		if b := best[r.Region]; b == nil || r.heard > b.heard || r.heard == b.heard && r.ID < b.ID {
-			best[r.Region] = r
+		if b := best[r.Zone]; b == nil || r.heard > b.heard || r.heard == b.heard && r.ID < b.ID {
+			best[r.Zone] = r
 		}
 	}
-	out := make([]string, 0, len(best))
-	for _, r := range best {
-		out = append(out, r.Addr)
+	return best
+}
+
+// ZoneRank returns the place of this VM among the heard VMs of its zone.
+func (m *Members) ZoneRank(now fleet.Time) int {
+	rank := 0
+	for id, r := range m.rows {
+		if id < m.self.ID && r.Zone == m.self.Zone && r.live(now) {
+			rank++
+		}
 	}
-	slices.Sort(out)
-	return out
+	return rank
 }
 
-// Delegate adds a VM of another region that answers for its region.
-func (m *Members) Delegate(now fleet.Time, v Member) {
-	if v.Region != m.self.Region {
-		m.Learn(now, v, true)
+// LiveZones returns the zones of this region in which a VM is heard, this VM's
+// included.
+func (m *Members) LiveZones(now fleet.Time) map[fleet.Zone]bool {
+	out := map[fleet.Zone]bool{m.self.Zone: true}
+	for _, r := range m.rows {
+		if r.Region == m.self.Region && r.live(now) {
+			out[r.Zone] = true
+		}
 	}
+	return out
 }
 
 // SetFleet notes how many VMs another VM knows.
--- a/pkg/mesh/messages.go
+++ b/pkg/mesh/messages.go
@@ -26,19 +26,19 @@
 
 // Welcome answers a greeting with the VMs of the greeter's region.
 type Welcome struct {
-	Self    Member           `msgpack:"s"`
-	Members []Member         `msgpack:"m"`
-	Fleet   int              `msgpack:"f"` // VMs of the fleet that the sender knows
-	Ready   bool             `msgpack:"r"` // the sender has a copy of the state to give
-	Digest  []balance.Belief `msgpack:"d"` // what the sender's region believes of its servers
+	Self    Member          `msgpack:"s"`
+	Members []Member        `msgpack:"m"`
+	Fleet   int             `msgpack:"f"` // VMs of the fleet that the sender knows
+	Ready   bool            `msgpack:"r"` // the sender has a copy of the state to give
+	Digest  *balance.Digest `msgpack:"d"` // what the sender's zone believes of its servers
 }
 
-// Digest tells other regions what a region believes of its servers. The VM that gets
-// it from another region passes it on to the VMs of its own.
+// Digest tells other zones what a zone believes of its servers. The VM that gets it
+// from another zone passes it on to the VMs of its own.
 type Digest struct {
-	Region fleet.Region     `msgpack:"r"`
-	Relay  bool             `msgpack:"y"` // to be passed on
-	Digest []balance.Belief `msgpack:"d"`
+	From   fleet.VMID     `msgpack:"f"`
+	Relay  bool           `msgpack:"y"` // to be passed on
+	Digest balance.Digest `msgpack:"d"`
 }
 
 // Report carries a balancer's report.
