--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -19,6 +19,8 @@
 	fullCost    = 0.15 // of the part of the slots taken beyond busyFrom
 	busyFrom    = 0.7
 	noise       = 0.01 // spreads equal servers
+	leaveZone   = 0.01 // of a server in another zone, where less is known
+	leaveRegion = 0.25
 	headersKB   = 0.5  // of a request's and an answer's headers together
 	coldPace    = 2.0  // pace of a server that is warming up
 	cutBelief   = 0.95 // of a server that this VM cannot connect to
@@ -109,7 +111,7 @@
 		basis := pool.Basis{Risk: best.risk, Load: best.s.load(), Wait: best.wait, Servers: len(offers)}
 		return pool.Decision{Work: w.ID, Code: result.NoCapacity, Retry: max(best.wait/2, minRetry), Basis: basis}
 	}
-	basis := pool.Basis{Risk: best.risk, Age: now.Sub(best.s.health.at), Load: best.s.load(), Wait: best.wait, Servers: len(offers)}
+	basis := pool.Basis{Risk: best.risk, Age: now.Sub(best.s.health.at), Load: best.s.load(), Wait: best.wait, Place: best.s.distance.String(), Servers: len(offers)}
 	b.start(now, w, best.s)
 	return pool.Decision{Work: w.ID, Server: best.s.entry.Server, Trial: trial != nil, Basis: basis}
 }
@@ -178,9 +180,9 @@
 	kb := float64(w.Bytes)/1024 + r.bytes.mean + headersKB
 	switch s.distance {
 	case inRegion:
-		return kb * b.cfg.Prices.ZonePerKB
+		return leaveZone + kb*b.cfg.Prices.ZonePerKB
 	case otherRegion:
-		return kb * b.cfg.Prices.RegionPerKB
+		return leaveRegion + kb*b.cfg.Prices.RegionPerKB
 	}
 	return 0
 }
--- a/pkg/balance/table.go
+++ b/pkg/balance/table.go
@@ -17,6 +17,9 @@
 	otherRegion
 )
 
+// String returns the distance's name in logs.
+func (d distance) String() string { return [...]string{"zone", "region", "far"}[d] }
+
 // server is one row of the table of backend servers.
 type server struct {
 	entry    registry.Entry
--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -19,7 +19,7 @@
 const (
 	// readInterval is the pause between two readings of the registry. With one
 	// takeover it stays within the 2 s in which a leaving server loses its traffic.
-	readInterval = 400 * time.Millisecond
+	readInterval = 500 * time.Millisecond
 	// takeoverDelay is how much longer than readInterval a VM waits for the reader.
 	takeoverDelay = 300 * time.Millisecond
 	// rankDelay spreads the takeover over the VMs of a region.
@@ -41,8 +41,10 @@
 	removalHold = 2200 * time.Millisecond
 	// repeatFor is how long a change is repeated in beacons, against lost datagrams.
 	repeatFor = 1500 * time.Millisecond
-	// documentWait is how long the reader waits in one call for a new document.
-	documentWait = 12 * time.Second
+	// documentWait is how long the reader waits in one call for a new document. An
+	// answer can be lost while the connection stays open, so a longer wait could miss
+	// the 2 s in which a document comes into force.
+	documentWait = time.Second
 	// fetchRetry is the pause before a copy is asked of a VM again.
 	fetchRetry = 300 * time.Millisecond
 	// forgetInterval is the pause between two sweeps of the registry.
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -16,6 +16,14 @@
 // Routes returns the look-up table in force, or nil before the first document.
 func (g *Gateway) Routes() *document.Index { return g.index.Load() }
 
+// WaitReady waits until the VM knows servers and a document, or ctx ends.
+func (g *Gateway) WaitReady(ctx context.Context) {
+	select {
+	case <-g.isReady:
+	case <-ctx.Done():
+	}
+}
+
 // Split chooses one of the route's backends by their weights.
 func (g *Gateway) Split(m document.RouteMatch) (chosen fleet.Service) {
 	g.do(func(fleet.Time) { chosen = g.balance.Split(m) })
--- a/pkg/gateway/flush.go
+++ b/pkg/gateway/flush.go
@@ -25,7 +25,7 @@
 // Pauses between two digests, and between two looks at the zones without a VM.
 const (
 	digestNear    = 250 * time.Millisecond // to the region's other zones
-	digestFar     = 2 * time.Second // to other regions
+	digestFar     = 2 * time.Second        // to other regions
 	coverInterval = 250 * time.Millisecond
 )
 
@@ -44,6 +44,7 @@
 	g.startCalls(now)
 	if !g.serving.Load() && g.follower.Ready() {
 		g.serving.Store(true)
+		close(g.isReady)
 		g.log.Info("ready", "servers", len(g.follower.Entries()), "after_ms", time.Duration(now).Milliseconds())
 	}
 	g.logEvents(now)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -36,6 +36,7 @@
 	sendTimeout     = 1500 * time.Millisecond
 	connsPerServer  = 64
 	unsentAttempts  = 3
+	readyWait       = time.Second
 	tickInterval    = 10 * time.Millisecond
 )
 
@@ -67,6 +68,7 @@
 	index    atomic.Pointer[document.Index]
 	draining atomic.Bool
 	serving  atomic.Bool
+	isReady  chan struct{} // closed once the VM serves
 	nextWork atomic.Uint64
 	stop     context.CancelFunc
 	ctx      context.Context
@@ -94,7 +96,7 @@
 func New(cfg Config) (*Gateway, error) {
 	s := cfg.Settings
 	g := &Gateway{
-		cfg: cfg, log: cfg.Logger, origin: time.Now(),
+		cfg: cfg, log: cfg.Logger, origin: time.Now(), isReady: make(chan struct{}),
 		self: mesh.Member{ID: fleet.VMID(s.VM.ID), Addr: s.Listen.Links, Region: fleet.Region(s.VM.Region), Zone: fleet.Zone(s.VM.Zone)},
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
@@ -162,7 +164,7 @@
 	l.BufferedBytes = int64(s.Limits.BodyBufferTotal)
 	l.KeepAlive, l.ServerKeepAlive = callerKeepAlive, serverKeepAlive
 	l.ConnectTime, l.SendTimeout, l.ConnsPerServer = connectTime, sendTimeout, connsPerServer
-	l.UnsentAttempts = unsentAttempts
+	l.UnsentAttempts, l.ReadyWait = unsentAttempts, readyWait
 	return l
 }
 
--- a/pkg/node/engine.go
+++ b/pkg/node/engine.go
@@ -53,6 +53,9 @@
 // Routes returns the look-up table in force, or nil before the first document.
 func (n *Node) Routes() *document.Index { return n.index.Load() }
 
+// WaitReady returns at once: a node without a document refuses requests.
+func (n *Node) WaitReady(context.Context) {}
+
 // Split chooses one of the route's backends by their weights.
 func (n *Node) Split(m document.RouteMatch) fleet.Service { return m.Split(rand.Float64()) }
 
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -49,6 +49,7 @@
 	Age     time.Duration // since the last outcome that moved the risk
 	Load    int           // requests believed to be at the server
 	Wait    time.Duration // expected in the server's queue
+	Place   string        // of the server: zone, region or far
 	Servers int           // servers that could have been chosen
 }
 
--- a/pkg/proxy/engine.go
+++ b/pkg/proxy/engine.go
@@ -25,6 +25,8 @@
 	Now() fleet.Time
 	// Routes returns the look-up table in force, or nil before the first document.
 	Routes() *document.Index
+	// WaitReady waits until there is a document, or ctx ends.
+	WaitReady(ctx context.Context)
 	// Split chooses one of the route's backends by their weights.
 	Split(route document.RouteMatch) fleet.Service
 	// Acquire waits for a slot. A refusal has a code in the decision. It returns the
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -113,6 +113,9 @@
 		return err
 	}
 	table := x.p.table()
+	if table == nil && x.p.limits.ReadyWait > 0 {
+		table = x.awaitTable()
+	}
 	if table == nil {
 		return result.Errorf(result.NotReady, "no configuration yet")
 	}
@@ -148,6 +151,21 @@
 	return x.readBody()
 }
 
+// awaitTable gives a VM that has just started a moment to get its document.
+func (x *exchange) awaitTable() RouteTable {
+	wait := x.p.limits.ReadyWait
+	if waits, ok := x.p.dialect.callerDeadline(x.r.Header); ok {
+		wait = min(wait, waits/readyShare)
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, wait)
+	defer cancel()
+	x.p.engine.WaitReady(ctx)
+	return x.p.table()
+}
+
+// readyShare is the part of a caller's time that may pass before the VM is ready.
+const readyShare = 4
+
 // requestID returns the caller's id of the request. Where servers see the caller's
 // own id, a request without one keeps having none, and logs name it by a new one.
 func (p *Proxy) requestID(r *http.Request) string {
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -53,8 +53,9 @@
 	events   []fleet.Event // guarded by mu
 }
 
-func (e *fakeEngine) Now() fleet.Time         { return fleet.Time(time.Since(e.origin)) }
-func (e *fakeEngine) Routes() *document.Index { return nil }
+func (e *fakeEngine) Now() fleet.Time           { return fleet.Time(time.Since(e.origin)) }
+func (e *fakeEngine) Routes() *document.Index   { return nil }
+func (e *fakeEngine) WaitReady(context.Context) {}
 func (e *fakeEngine) Split(m document.RouteMatch) fleet.Service {
 	return m.Route.Backends[0].Service
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -42,6 +42,7 @@
 	ConnectTime     time.Duration // TCP connect to a server
 	ConnsPerServer  int           // connections of this VM to one server
 	UnsentAttempts  int           // further servers tried after attempts that sent nothing, beyond the route's repeats
+	ReadyWait       time.Duration // a request waits this long for the first document; 0 refuses it at once
 	RetryAfter      time.Duration // advice with refusals that have none of their own
 	ServerKeepAlive time.Duration // idle connection to a server; KeepAlive when 0
 	SendTimeout     time.Duration // sent bytes that a peer does not acknowledge end the connection; 0 leaves it to the system
--- a/pkg/proxy/story.go
+++ b/pkg/proxy/story.go
@@ -42,7 +42,7 @@
 		b.WriteString(" code=" + s.code.String())
 	}
 	b.WriteString(" risk=" + strconv.FormatFloat(s.basis.Risk, 'f', 3, 64) + " risk_age=" + ms(s.basis.Age) +
-		" load=" + strconv.Itoa(s.basis.Load) + " wait=" + ms(s.basis.Wait) + " servers=" + strconv.Itoa(s.basis.Servers))
+		" load=" + strconv.Itoa(s.basis.Load) + " wait=" + ms(s.basis.Wait) + " place=" + s.basis.Place + " servers=" + strconv.Itoa(s.basis.Servers))
 	return b.String()
 }
 
