--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -20,7 +20,8 @@
 	busyFrom    = 0.7
 	noise       = 0.01 // spreads equal servers
 	leaveZone   = 0.01 // of a server in another zone, where less is known
-	leaveRegion = 0.25
+	leaveRegion = 0.15
+	leaveFull   = 0.6  // beyond that, of a server whose zone is busy
 	headersKB   = 0.5  // of a request's and an answer's headers together
 	coldPace    = 2.0  // pace of a server that is warming up
 	cutBelief   = 0.95 // of a server that this VM cannot connect to
@@ -127,7 +128,11 @@
 		if s.entry.Server.State != fleet.StateLive || now < s.leftUntil || slices.Contains(w.Exclude, id) {
 			continue
 		}
-		out = append(out, b.offer(now, s, r, w))
+		o := b.offer(now, s, r, w)
+		if s.distance == otherRegion && svc.full(now, s.entry.Server.Zone) {
+			o.cost += leaveFull
+		}
+		out = append(out, o)
 	}
 	// The order of a map must not decide.
 	slices.SortFunc(out, func(x, y offer) int {
--- a/pkg/balance/digest.go
+++ b/pkg/balance/digest.go
@@ -16,6 +16,10 @@
 	digestFresh = time.Second
 	// ratioFresh is how long another zone's share of failures counts.
 	ratioFresh = 3 * time.Second
+	// farFresh is how long another region's digest says whether its zones have room.
+	farFresh = 5 * time.Second
+	// farBusy is the part of a zone's slots from which it has no room for other regions.
+	farBusy = 0.6
 	// digestLeast is the difference from the usual belief from which a server is told.
 	digestLeast = 0.03
 )
@@ -46,6 +50,7 @@
 	Service fleet.Service
 	Failed  float32
 	All     float32
+	Busy    float32 // requests over the slots of the zone's servers that are believed healthy
 }
 
 // share is a Share of another zone.
@@ -67,7 +72,9 @@
 	slices.SortFunc(d.Beliefs, func(x, y Belief) int { return cmp.Compare(x.Server, y.Server) })
 	for name, svc := range b.services {
 		if svc.failures.decay(now); svc.failures.all > digestLeast {
-			d.Services = append(d.Services, Share{Service: name, Failed: float32(svc.failures.failed), All: float32(svc.failures.all)})
+			d.Services = append(d.Services, Share{
+				Service: name, Failed: float32(svc.failures.failed), All: float32(svc.failures.all), Busy: float32(svc.busy(now)),
+			})
 		}
 	}
 	slices.SortFunc(d.Services, func(x, y Share) int { return cmp.Compare(x.Service, y.Service) })
@@ -100,6 +107,29 @@
 	}
 }
 
+// busy returns the requests at the zone's servers over the slots of those that are
+// believed healthy.
+func (s *service) busy(now fleet.Time) float64 {
+	load, slots := 0, 0
+	for _, v := range s.servers {
+		if v.distance != inZone || v.entry.Server.State != fleet.StateLive {
+			continue
+		}
+		load += v.load()
+		if v.health.now(now) < suspectFrom {
+			slots += v.entry.Slots
+		}
+	}
+	return float64(load) / float64(max(slots, 1))
+}
+
+// full reports whether a zone is too busy to take requests of other regions, or is
+// not heard.
+func (s *service) full(now fleet.Time, zone fleet.Zone) bool {
+	z, ok := s.zones[zone]
+	return !ok || now.Sub(z.heard) > farFresh || z.Busy > farBusy
+}
+
 // failing returns the share of a service's requests that fail, over all zones that
 // were heard lately; 0 while there are few outcomes.
 func (s *service) failing(now fleet.Time) float64 {
