--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -42,6 +42,7 @@
 	spreadFailures = 0.08 // share of failures from which requests are spread
 	spreadRisk     = 0.8  // belief of a server that failed about 2 s ago
 	spreadUnused   = 1100 * time.Millisecond
+	unknownUnused  = 3 * time.Second // of a server that was never used, or not for long
 )
 
 // Refusals.
@@ -224,15 +225,12 @@
 // avoiding servers because of them must not take the service's capacity below its
 // floor: then those that failed some time ago are used again too.
 func (b *Balancer) spread(now fleet.Time, svc *service, offers []offer, best *offer) *offer {
-	most := coverRisk
-	if svc.failing(now) >= spreadFailures {
-		most = spreadRisk
-	}
+	failing := svc.failing(now) >= spreadFailures
 	var found *offer
 	for i := range offers {
 		o := &offers[i]
 		home := o.s.distance == inZone || b.covered[o.s.entry.Server.Zone]
-		if o == best || !home || o.risk > most || o.s.load() > 0 || now < o.s.cutUntil || now.Sub(o.s.used) < spreadUnused {
+		if o == best || !home || o.s.load() > 0 || now < o.s.cutUntil || now.Sub(o.s.used) < spreadAfter(o.risk, failing) {
 			continue
 		}
 		if found == nil || o.risk < found.risk {
@@ -242,6 +240,17 @@
 	return found
 }
 
+// spreadAfter returns how long a server of that risk may be unused.
+func spreadAfter(risk float64, failing bool) time.Duration {
+	switch {
+	case risk <= coverRisk, failing && risk <= spreadRisk:
+		return spreadUnused
+	case risk <= usual+digestLeast:
+		return unknownUnused
+	}
+	return math.MaxInt64
+}
+
 func (b *Balancer) triable(now fleet.Time, o *offer) bool {
 	s := o.s
 	if s.load() > 0 || now < s.cutUntil || now < s.fullUntil {
--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -44,6 +44,7 @@
 	added   fleet.Time
 	heard   fleet.Time // 0: never
 	greeted fleet.Time
+	lost    bool // it is silent, and that was noted
 }
 
 // Members is the deterministic table of VMs that one VM knows.
@@ -147,7 +148,7 @@
 	if !r.live(now) {
 		m.event("peer_found", id)
 	}
-	r.heard = max(now, 1)
+	r.heard, r.lost = max(now, 1), false
 	return true
 }
 
@@ -210,7 +211,7 @@
 func (m *Members) newest(now fleet.Time, match func(*member) bool) map[fleet.Zone]*member {
 	best := make(map[fleet.Zone]*member)
 	for _, r := range m.rows {
-		if r.heard <= 1 || now.Sub(r.heard) > delegateFor || !match(r) {
+		if r.heard == 0 || now.Sub(r.heard) > delegateFor || !match(r) {
 			continue
 		}
 		if b := best[r.Zone]; b == nil || r.heard > b.heard || r.heard == b.heard && r.ID < b.ID {
@@ -301,8 +302,8 @@
 // Events returns what changed since the last call.
 func (m *Members) Events(now fleet.Time) []fleet.Event {
 	for id, r := range m.rows {
-		if r.heard > 1 && !r.live(now) && r.Region == m.self.Region {
-			r.heard = 1
+		if r.heard != 0 && !r.lost && !r.live(now) && r.Region == m.self.Region {
+			r.lost = true
 			m.event("peer_lost", id)
 		}
 	}
--- /dev/null
+++ b/pkg/mesh/mesh_test.go
@@ -0,0 +1,203 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/follower"
+)
+
+// world runs the membership of a fleet on a fake clock.
+type world struct {
+	now  fleet.Time
+	vms  []*Members
+	dead map[string]bool // by address
+}
+
+func newWorld(n int, seeds ...int) *world {
+	w := &world{now: 1, dead: map[string]bool{}}
+	for i := range n {
+		w.start(i, seeds)
+	}
+	return w
+}
+
+func addr(i int) string { return fmt.Sprintf("10.0.0.%d:70", i) }
+
+func (w *world) start(i int, seeds []int) {
+	var addrs []string
+	for _, s := range seeds {
+		addrs = append(addrs, addr(s))
+	}
+	region := fleet.Region([]string{"addis", "hawassa"}[i%2])
+	zone := fleet.Zone(fmt.Sprintf("%s-%d", region, i/2%2))
+	m := NewMembers(Member{ID: fleet.VMID(fmt.Sprint("vm", i)), Addr: addr(i), Region: region, Zone: zone}, addrs)
+	if i < len(w.vms) {
+		w.vms[i] = m
+	} else {
+		w.vms = append(w.vms, m)
+	}
+}
+
+func (w *world) run(d time.Duration) {
+	const tick = 20 * time.Millisecond
+	for end := w.now.Add(d); w.now < end; w.now = w.now.Add(tick) {
+		for _, v := range w.vms {
+			if w.dead[v.self.Addr] {
+				continue
+			}
+			v.Events(w.now)
+			zone, region := v.Peers(w.now)
+			for _, a := range append(zone, region...) {
+				if other := w.at(a); other != nil {
+					other.Hear(w.now, v.self.ID)
+				}
+			}
+			for _, a := range v.Greetings(w.now) {
+				other := w.at(a)
+				if other == nil {
+					continue
+				}
+				other.Learn(w.now, v.self, true)
+				list, known := other.Listed(w.now, v.self.Region)
+				for _, m := range list {
+					v.Learn(w.now, m, false)
+				}
+				v.Learn(w.now, other.self, true)
+				v.SetFleet(known)
+			}
+		}
+	}
+}
+
+func (w *world) at(address string) *Members {
+	for _, v := range w.vms {
+		if v.self.Addr == address && !w.dead[address] {
+			return v
+		}
+	}
+	return nil
+}
+
+// Guards against VMs that start together and do not find all of their region, and
+// against a wrong size of the fleet, by which the repeat budget is shared.
+func TestAllMeetAtTheStart(t *testing.T) {
+	w := newWorld(20, 0, 1, 2)
+	w.run(3 * time.Second)
+	for _, v := range w.vms {
+		require.Equal(t, 9, v.Heard(w.now), v.self.ID)
+		require.Equal(t, 20, v.Fleet(), v.self.ID)
+		region, far := v.Delegates(w.now)
+		require.Len(t, region, 1)
+		require.NotEmpty(t, far)
+	}
+}
+
+// Guards against a restarted VM that does not come back, although the seeds are gone.
+func TestRestartWithoutSeeds(t *testing.T) {
+	w := newWorld(12, 0, 1)
+	w.run(3 * time.Second)
+	w.dead[addr(0)], w.dead[addr(1)] = true, true
+	w.start(6, []int{0, 1})
+	w.run(2 * time.Second)
+	require.Equal(t, 4, w.vms[6].Heard(w.now), "the others greet the silent VM at its old address")
+}
+
+// Guards against a VM that found nobody and does not use addresses from the store.
+func TestLonely(t *testing.T) {
+	w := newWorld(6, 0)
+	w.run(3 * time.Second)
+	w.start(6, []int{99})
+	w.run(2 * time.Second)
+	lonely := w.vms[6]
+	require.True(t, lonely.Lonely(w.now))
+	lonely.AddSeeds([]string{addr(2)})
+	w.run(2 * time.Second)
+	require.False(t, lonely.Lonely(w.now))
+	require.Equal(t, 3, lonely.Heard(w.now))
+}
+
+// Guards against silent VMs that still count, and against a cut after which the VMs
+// do not meet again.
+func TestSilentVM(t *testing.T) {
+	w := newWorld(8, 0, 1)
+	w.run(3 * time.Second)
+	w.dead[addr(2)] = true
+	w.run(3 * time.Second)
+	require.Equal(t, 2, w.vms[0].Heard(w.now))
+	require.False(t, slices.ContainsFunc(w.vms[0].Events(w.now), func(e fleet.Event) bool { return e.Reason != "vm2" }))
+	w.dead[addr(2)] = false
+	w.run(2 * time.Second)
+	require.Equal(t, 3, w.vms[0].Heard(w.now))
+	require.Equal(t, 3, w.vms[2].Heard(w.now))
+}
+
+// Guards against two VMs of a region that both think themselves first.
+func TestRanksAreDistinct(t *testing.T) {
+	w := newWorld(12, 0, 1, 2)
+	w.run(3 * time.Second)
+	ranks := map[int]bool{}
+	for i := 0; i < 12; i += 2 {
+		v := w.vms[i]
+		ranks[v.Rank(w.now, v.self.ID)] = true
+		require.Equal(t, v.Rank(w.now, v.self.ID), w.vms[(i+2)%12].Rank(w.now, v.self.ID))
+	}
+	require.Len(t, ranks, 6)
+}
+
+type recorder struct {
+	mu   sync.Mutex
+	got  []fleet.Message
+	copy *follower.Copy
+}
+
+func (r *recorder) Datagram(_ netip.AddrPort, m fleet.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.got = append(r.got, m)
+}
+func (r *recorder) GiveCopy() *follower.Copy { return r.copy }
+
+func (r *recorder) messages() []fleet.Message {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.got)
+}
+
+// Guards against datagrams that cannot be decoded and end the reading, and against a
+// copy that arrives incomplete.
+func TestTransport(t *testing.T) {
+	a, b := &recorder{}, &recorder{copy: &follower.Copy{Position: 7, Raw: make([]byte, 200_000)}}
+	ta, err := Listen("127.0.0.1:0", a, logr.Discard())
+	require.NoError(t, err)
+	defer ta.Close()
+	tb, err := Listen("127.0.0.1:0", b, logr.Discard())
+	require.NoError(t, err)
+	defer tb.Close()
+	go ta.Serve()
+	go tb.Serve()
+
+	_, err = ta.udp.WriteToUDPAddrPort([]byte("no frame"), netip.MustParseAddrPort(tb.Addr()))
+	require.NoError(t, err)
+	hello := &Hello{Self: Member{ID: "vm1", Addr: ta.Addr()}}
+	require.Eventually(t, func() bool {
+		ta.Send(hello, tb.Addr())
+		return len(b.messages()) > 0
+	}, 30*time.Second, 10*time.Millisecond)
+	require.Equal(t, hello, b.messages()[0])
+
+	c, err := ta.FetchCopy(context.Background(), "vm1", tb.Addr())
+	require.NoError(t, err)
+	require.Equal(t, b.copy, c)
+	_, err = tb.FetchCopy(context.Background(), "vm2", ta.Addr())
+	require.Error(t, err, "a VM without a copy gives none")
+}
