--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -164,6 +164,7 @@
 	l.BufferedBytes = int64(s.Limits.BodyBufferTotal)
 	l.KeepAlive, l.ServerKeepAlive = callerKeepAlive, serverKeepAlive
 	l.ConnectTime, l.SendTimeout, l.ConnsPerServer = connectTime, sendTimeout, connsPerServer
+	l.BufferUnsized = true
 	l.UnsentAttempts, l.ReadyWait = unsentAttempts, readyWait
 	return l
 }
--- a/pkg/proxy/answer.go
+++ b/pkg/proxy/answer.go
@@ -84,6 +84,9 @@
 	if !x.r.ProtoAtLeast(1, 1) && a.length < 0 {
 		return x.gatherOld(ctx, a)
 	}
+	if x.p.limits.BufferUnsized && a.length < 0 {
+		return x.gatherUnsized(ctx, a)
+	}
 	first := make([]byte, 4<<10)
 	n, err := a.resp.Body.Read(first)
 	a.body = first[:n]
@@ -110,6 +113,22 @@
 	return nil
 }
 
+// gatherUnsized reads an answer without length up to the limit, so that one that ends
+// early can still become a failure or be repeated. The rest of a longer one is
+// streamed.
+func (x *exchange) gatherUnsized(ctx context.Context, a *answer) *outcome {
+	body, err := io.ReadAll(io.LimitReader(a.resp.Body, int64(x.p.limits.AnswerBody)))
+	if err != nil {
+		return x.truncated(ctx, err)
+	}
+	a.body = body
+	if len(body) < x.p.limits.AnswerBody && len(a.resp.Trailer) == 0 {
+		a.resp.Body.Close()
+		a.whole, a.length = true, int64(len(body))
+	}
+	return nil
+}
+
 // gatherOld reads an answer without length whole for an HTTP/1.0 caller, which could
 // not tell an aborted answer from a complete one.
 func (x *exchange) gatherOld(ctx context.Context, a *answer) *outcome {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -41,6 +41,7 @@
 	DefaultDeadline time.Duration // for routes without a deadline
 	ConnectTime     time.Duration // TCP connect to a server
 	ConnsPerServer  int           // connections of this VM to one server
+	BufferUnsized   bool          // answers without length are read whole, up to AnswerBody, before the first byte is passed on
 	UnsentAttempts  int           // further servers tried after attempts that sent nothing, beyond the route's repeats
 	ReadyWait       time.Duration // a request waits this long for the first document; 0 refuses it at once
 	RetryAfter      time.Duration // advice with refusals that have none of their own
