--- a/cmd/fulmarbeam/serve.go
+++ b/cmd/fulmarbeam/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"log"
 	"os"
@@ -8,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
@@ -63,5 +65,48 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
+	go watchSettings(ctx, file, g, logger)
 	return errors.Trace(g.Run(ctx))
 }
+
+// settingsInterval is the pause between two looks at the settings file, which may
+// change without a signal.
+const settingsInterval = 2 * time.Second
+
+// watchSettings reloads the settings file at SIGHUP and when its content changes. A
+// file with problems is reported and leaves the settings as they are.
+func watchSettings(ctx context.Context, file string, g *gateway.Gateway, logger logr.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	last, _ := os.ReadFile(file)
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			asked = true
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(file)
+		if err != nil {
+			if asked {
+				logger.Info("settings not reloaded", "error", err.Error())
+			}
+			continue
+		}
+		if !asked && bytes.Equal(data, last) {
+			continue
+		}
+		last = data
+		s, err := settings.ParseGateway(file, data)
+		if err != nil {
+			logger.Info("settings not reloaded", "error", err.Error())
+			continue
+		}
+		g.Reload(s)
+	}
+}
--- a/pkg/balance/table.go
+++ b/pkg/balance/table.go
@@ -105,6 +105,9 @@
 	}
 }
 
+// Configure replaces the prices and the repeat budget.
+func (b *Balancer) Configure(p Prices, budget Budget) { b.cfg.Prices, b.cfg.Budget = p, budget }
+
 // SetVMs sets the number of VMs that share the fleet's repeat budget.
 func (b *Balancer) SetVMs(n int) { b.vms = max(n, 1) }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,10 +101,9 @@
 		self: mesh.Member{ID: fleet.VMID(s.VM.ID), Addr: s.Listen.Links, Region: fleet.Region(s.VM.Region), Zone: fleet.Zone(s.VM.Zone)},
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
+	prices, budget := weights(s)
 	g.balance = balance.New(balance.Config{
-		Self: g.self.ID, Region: g.self.Region, Zone: g.self.Zone, Seed: cfg.Seed,
-		Prices: balance.Prices{ZonePerKB: s.Prices.ZonePerKB, RegionPerKB: s.Prices.RegionPerKB},
-		Budget: balance.Budget{Ratio: s.Repeats.Ratio, Window: s.Repeats.Window.D(), Slack: s.Repeats.Slack},
+		Self: g.self.ID, Region: g.self.Region, Zone: g.self.Zone, Seed: cfg.Seed, Prices: prices, Budget: budget,
 	})
 	g.follower = follower.New(follower.Config{Self: g.self.ID})
 	g.members = mesh.NewMembers(g.self, seedAddresses(s))
@@ -114,6 +114,26 @@
 	return g, nil
 }
 
+func weights(s *settings.Gateway) (balance.Prices, balance.Budget) {
+	return balance.Prices{ZonePerKB: s.Prices.ZonePerKB, RegionPerKB: s.Prices.RegionPerKB},
+		balance.Budget{Ratio: s.Repeats.Ratio, Window: s.Repeats.Window.D(), Slack: s.Repeats.Slack}
+}
+
+// Reload takes changed settings over: prices, the repeat budget and the seeds. The
+// other settings need a restart; it reports whether one of them changed.
+func (g *Gateway) Reload(s *settings.Gateway) (restart bool) {
+	prices, budget := weights(s)
+	g.do(func(fleet.Time) {
+		g.balance.Configure(prices, budget)
+		g.members.AddSeeds(seedAddresses(s))
+	})
+	old, now := *g.cfg.Settings, *s
+	old.Prices, old.Repeats, old.Seeds = now.Prices, now.Repeats, now.Seeds
+	restart = !reflect.DeepEqual(old, now)
+	g.log.Info("settings reloaded", "restart_needed", restart)
+	return restart
+}
+
 // seedAddresses returns the links of the seeds: ports are the same on all VMs.
 func seedAddresses(s *settings.Gateway) []string {
 	own, err := netip.ParseAddrPort(s.Listen.Links)
