--- a/cmd/fulmarbeam/commands.go
+++ b/cmd/fulmarbeam/commands.go
@@ -78,14 +78,19 @@
 }
 
 func newCheck() *cobra.Command {
-	var asJSON bool
+	var asJSON, forGateway bool
 	cmd := &cobra.Command{
 		Use:     "check FILE",
 		Short:   "Check a settings file and report all problems at once",
 		Example: "  fulmarbeam check settings.jsonc",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			_, err := load(args[0])
+			var err error
+			if forGateway {
+				_, err = settings.LoadGateway(args[0])
+			} else {
+				_, err = load(args[0])
+			}
 			var problems *settings.Error
 			if asJSON && errors.As(err, &problems) {
 				enc := json.NewEncoder(cmd.OutOrStdout())
@@ -100,6 +105,7 @@
 			return err
 		},
 	}
+	cmd.Flags().BoolVar(&forGateway, "gateway", false, "the file is for fulmarbeam serve")
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print the problems as JSON")
 	return cmd
 }
--- a/cmd/fulmarbeam/serve.go
+++ b/cmd/fulmarbeam/serve.go
@@ -47,13 +47,15 @@
 	if err != nil {
 		return err
 	}
-	logger, err := telemetry.NewLogger(os.Stdout, s.Log.Level, s.Log.Format)
+	set := telemetry.NewMetrics()
+	out := telemetry.NewLossyWriter(os.Stdout, set)
+	defer out.Close()
+	logger, err := telemetry.NewLogger(out, s.Log.Level, s.Log.Format)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	// net/http reports unsolicited bytes of servers to the standard logger.
 	log.SetOutput(proxy.StandardLog(logger))
-	set := telemetry.NewMetrics()
 	g, err := gateway.New(gateway.Config{
 		Settings: s, Source: platform.NewStore(s.Store.Address, s.Zones, gateway.StoreMeter(set, logger)),
 		Dialect: platform.Dialect(), ReadyPath: platform.ReadyPath,
--- a/pkg/balance/digest.go
+++ b/pkg/balance/digest.go
@@ -107,6 +107,18 @@
 	}
 }
 
+// Counts returns how many servers are believed healthy and how many are suspects.
+func (b *Balancer) Counts(now fleet.Time) (healthy, suspects int) {
+	for _, s := range b.servers {
+		if s.health.now(now) < suspectFrom {
+			healthy++
+		} else {
+			suspects++
+		}
+	}
+	return healthy, suspects
+}
+
 // busy returns the requests at the zone's servers over the slots of those that are
 // believed healthy.
 func (s *service) busy(now fleet.Time) float64 {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -111,6 +111,7 @@
 		g.Close()
 		return nil, err
 	}
+	g.registerMetrics()
 	return g, nil
 }
 
--- a/pkg/gateway/meter.go
+++ b/pkg/gateway/meter.go
@@ -6,8 +6,38 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 )
 
+// registerMetrics adds gauges of the deterministic state.
+func (g *Gateway) registerMetrics() {
+	gauge := func(name string, value func(now fleet.Time) float64) {
+		g.cfg.Metrics.GetOrCreateGauge(name, func() float64 {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return value(g.Now())
+		})
+	}
+	gauge("fulmarbeam_configuration_revision", func(fleet.Time) float64 {
+		if x := g.index.Load(); x != nil {
+			return float64(x.Revision)
+		}
+		return 0
+	})
+	gauge("fulmarbeam_registry_age_seconds", func(now fleet.Time) float64 { return g.follower.Age(now).Seconds() })
+	gauge("fulmarbeam_registry_reader", func(fleet.Time) float64 {
+		if g.follower.Reading() {
+			return 1
+		}
+		return 0
+	})
+	gauge("fulmarbeam_region_peers", func(now fleet.Time) float64 { return float64(g.members.Heard(now)) })
+	gauge("fulmarbeam_fleet_vms", func(fleet.Time) float64 { return float64(g.members.Fleet()) })
+	gauge(`fulmarbeam_servers{belief="healthy"}`, func(now fleet.Time) float64 { h, _ := g.balance.Counts(now); return float64(h) })
+	gauge(`fulmarbeam_servers{belief="suspect"}`, func(now fleet.Time) float64 { _, s := g.balance.Counts(now); return float64(s) })
+}
+
 // StoreMeter returns an observer of calls to the store that counts them and logs
 // those that failed.
 func StoreMeter(set *metrics.Set, log logr.Logger) func(call string, took time.Duration, err error) {
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -2,6 +2,7 @@
 package telemetry
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/go-logr/zerologr"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
 )
@@ -42,6 +44,19 @@
 	return zerologr.New(&z), nil
 }
 
+// logLines is how many lines wait to be written before further ones are dropped.
+const logLines = 4096
+
+// NewLossyWriter returns a writer that never blocks: lines wait in a ring for one
+// writer, and what does not fit is dropped and counted. Close writes what waits.
+func NewLossyWriter(w io.Writer, set *metrics.Set) io.WriteCloser {
+	dropped := set.GetOrCreateCounter("fulmarbeam_log_lines_dropped_total")
+	return diode.NewWriter(w, logLines, 0, func(missed int) {
+		dropped.Add(missed)
+		fmt.Fprintf(w, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"lines\":%d}\n", missed)
+	})
+}
+
 // RequestIDHeader carries the request id to servers, callers and operators.
 const RequestIDHeader = "X-Request-Id"
 
