--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -56,10 +56,6 @@
 // by its priority; less urgent requests are refused earlier.
 var waitShare = [...]float64{0.9, 0.75, 0.6}
 
-// lateShare is the same over the latency objective: a request that would be late is
-// refused, so that the queue stays short for those that are not.
-var lateShare = [...]float64{2, 0.8, 0.35}
-
 // golden spreads consecutive requests of a route evenly over its backends.
 const golden = 0.6180339887498949
 
@@ -169,8 +165,7 @@
 		failure *= repeatCost
 	}
 	share := waitShare[min(max(w.Priority, 0), len(waitShare)-1)]
-	o.fits = o.wait+o.took/2 <= time.Duration(share*float64(w.Deadline.Sub(now))) &&
-		(w.Objective <= 0 || o.wait <= time.Duration(lateShare[min(max(w.Priority, 0), len(lateShare)-1)]*float64(w.Objective)))
+	o.fits = o.wait+o.took/2 <= time.Duration(share*float64(w.Deadline.Sub(now)))
 	if !o.fits {
 		failure = 1
 	}
