--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,18 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test demo lint fmt spec bench clean
+.PHONY: all build deploy test demo lint fmt spec bench clean
 all: build
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
-test: build spec
-	$(GO) test -timeout 10m ./cmd/... ./pkg/...
+# What the platform builds, by the line of the deploy file.
+deploy:
+	sh -ec "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
+test: build deploy spec
+	$(GO) test -timeout 10m ./cmd/... ./pkg/... ./platform/...
 	# The binaries that these tests build are not part of go test's cache key.
 	$(GO) test -count=1 -timeout 10m ./test/...
 
@@ -17,7 +21,7 @@
 	$(BIN)/fulmarbeam demo
 
 fmt:
-	@out=$$(gofmt -l cmd pkg test 2>/dev/null); if [ -n "$$out" ]; then echo "gofmt needed: $$out"; exit 1; fi
+	@out=$$(gofmt -l cmd pkg platform test 2>/dev/null); if [ -n "$$out" ]; then echo "gofmt needed: $$out"; exit 1; fi
 
 lint: fmt
 	$(GO) vet ./...
@@ -31,4 +35,4 @@
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
 clean:
-	rm -rf $(BIN) out
+	rm -rf $(BIN) out target
--- a/pkg/balance/digest.go
+++ b/pkg/balance/digest.go
@@ -26,6 +26,7 @@
 
 // Digest is what the VMs of one zone know of its servers and of services.
 type Digest struct {
+	//lint:ignore U1000 msgpack reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Zone     fleet.Zone
@@ -35,6 +36,7 @@
 
 // Belief is what a zone believes of one of its servers.
 type Belief struct {
+	//lint:ignore U1000 msgpack reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Server fleet.ServerID
@@ -45,6 +47,7 @@
 // Share is how many of a service's requests failed lately, as one zone saw it. Older
 // outcomes count less.
 type Share struct {
+	//lint:ignore U1000 msgpack reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Service fleet.Service
--- a/pkg/balance/types.go
+++ b/pkg/balance/types.go
@@ -61,6 +61,7 @@
 
 // Observation is an outcome that a VM saw.
 type Observation struct {
+	//lint:ignore U1000 msgpack reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Server  fleet.ServerID
@@ -72,6 +73,7 @@
 
 // Load is the number of requests that a VM has at a server.
 type Load struct {
+	//lint:ignore U1000 msgpack reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Server   fleet.ServerID
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -13,8 +13,14 @@
 
 var _ proxy.Engine = (*Gateway)(nil)
 
-// Routes returns the look-up table in force, or nil before the first document.
-func (g *Gateway) Routes() *document.Index { return g.index.Load() }
+// Routes returns the look-up table in force, or nil before the VM knows a document
+// and the servers.
+func (g *Gateway) Routes() *document.Index {
+	if !g.serving.Load() {
+		return nil
+	}
+	return g.index.Load()
+}
 
 // WaitReady waits until the VM knows servers and a document, or ctx ends.
 func (g *Gateway) WaitReady(ctx context.Context) {
