--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -71,7 +71,7 @@
 	if (o.due == 0 || now < o.due) && now.Sub(o.sent) < o.idle {
 		return nil
 	}
-	r := &Report{Zone: b.cfg.Zone, Leaving: b.leaving}
+	r := &Report{Zone: b.cfg.Zone}
 	for _, obs := range o.observations {
 		obs.o.AgeMS = now.Sub(obs.at).Milliseconds()
 		r.Observations = append(r.Observations, obs.o)
--- a/pkg/balance/table.go
+++ b/pkg/balance/table.go
@@ -86,7 +86,6 @@
 	vms      int                 // VMs of the fleet, as far as known
 
 	zone, region outlet
-	leaving      bool
 	events       []fleet.Event
 }
 
@@ -115,9 +114,6 @@
 // own: those in which no VM is heard.
 func (b *Balancer) SetCovered(zones map[fleet.Zone]bool) { b.covered = zones }
 
-// SetLeaving makes the next reports say that this VM shuts down.
-func (b *Balancer) SetLeaving() { b.leaving = true }
-
 // Apply takes changes of the registry over.
 func (b *Balancer) Apply(now fleet.Time, changes []registry.Change) {
 	for _, c := range changes {
--- a/pkg/balance/types.go
+++ b/pkg/balance/types.go
@@ -86,7 +86,6 @@
 	Zone         fleet.Zone    `msgpack:"z"`
 	Loads        []Load        `msgpack:"l,omitempty"`
 	Observations []Observation `msgpack:"o,omitempty"`
-	Leaving      bool          `msgpack:"x,omitempty"` // the VM shuts down and takes no more requests
 }
 
 // Scope says how far a report goes.
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -51,7 +51,7 @@
 }
 
 // NextWork returns a new work number.
-func (g *Gateway) NextWork() pool.WorkID { return g.work() }
+func (g *Gateway) NextWork() pool.WorkID { return pool.WorkID(g.nextWork.Add(1)) }
 
 // MayRetry takes one repeat from the service's budget if there is one.
 func (g *Gateway) MayRetry(service fleet.Service) (allowed bool) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -22,7 +22,6 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/follower"
 	"github.com/fulmarbeam/fulmarbeam/pkg/mesh"
-	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
 	"github.com/fulmarbeam/fulmarbeam/pkg/proxy"
 	"github.com/fulmarbeam/fulmarbeam/pkg/registry"
 	"github.com/fulmarbeam/fulmarbeam/pkg/settings"
@@ -257,6 +256,3 @@
 		g.proxy.Close()
 	}
 }
-
-// work numbers a piece of work.
-func (g *Gateway) work() pool.WorkID { return pool.WorkID(g.nextWork.Add(1)) }
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -9,7 +9,6 @@
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
-	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/telemetry"
 )
 
@@ -57,7 +56,6 @@
 	start := time.Now()
 	s := g.cfg.Settings.Shutdown
 	g.draining.Store(true)
-	g.do(func(fleet.Time) { g.balance.SetLeaving() })
 	g.log.Info("stopping", "in_flight", g.proxy.InFlight())
 	end := start.Add(s.Grace.D() - exitMargin)
 	time.Sleep(min(s.Leave.D(), time.Until(end)))
--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -57,8 +57,8 @@
 	turn     int        // of the heard members that are greeted one after the other
 	fleet    int        // largest number of VMs that another VM knew
 	events   []fleet.Event
-	hasStart bool
-	started  fleet.Time
+	begun    bool
+	started  fleet.Time // first greeting
 }
 
 // NewMembers returns a table that knows only the seeds' addresses.
@@ -68,8 +68,8 @@
 
 // Greetings returns the addresses to greet now.
 func (m *Members) Greetings(now fleet.Time) []string {
-	if !m.hasStart {
-		m.hasStart, m.started = true, now
+	if !m.begun {
+		m.begun, m.started = true, now
 	}
 	var out []string
 	interval := greetSeeds
@@ -124,7 +124,7 @@
 
 // Lonely reports whether the VM has found no other VM for a while.
 func (m *Members) Lonely(now fleet.Time) bool {
-	return m.hasStart && now.Sub(m.started) > lonelyAfter && m.Heard(now) == 0
+	return m.begun && now.Sub(m.started) > lonelyAfter && m.Heard(now) == 0
 }
 
 // AddSeeds adds addresses to greet.
--- a/pkg/proxy/dialect.go
+++ b/pkg/proxy/dialect.go
@@ -12,7 +12,6 @@
 	RequestID  string // id of a request, from callers and towards servers
 	Deadline   string // milliseconds that the sender of a request waits for its answer
 	Target     string // id of the server that a request is meant for
-	Instance   string // id of the server that answers
 	Shed       string // in a 503: the server has no room; the value is "1" unless AnyShed is set
 	Declined   string // in a 503: the server declined for another reason
 	Draining   string // in an answer: the server is leaving
