Spread sooner while a service fails

Ruled out: a server that was never used. Servers unused for 0.9 s instead of 1.1 s, and those that failed 1.7 s ago instead of 2 s, are used again while the service fails.

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -40,8 +40,8 @@
 const (
 	coverRisk      = 0.1  // belief up to which an unused server is used at any time
 	spreadFailures = 0.08 // share of failures from which requests are spread
-	spreadRisk     = 0.8  // belief of a server that failed about 2 s ago
-	spreadUnused   = 1100 * time.Millisecond
+	spreadRisk     = 0.85 // belief of a server that failed about 2 s ago
+	spreadUnused   = 900 * time.Millisecond
 	unknownUnused  = 3 * time.Second // of a server that was never used, or not for long
 )
 
