Test that beacons repeat changes and that no document goes back

Cause: of eleven mutations of the new code two survived the tests: a follower that takes an older document, and beacons that do not repeat. Both new tests fail on their mutation and pass on the code; the other nine were caught.

--- a/pkg/follower/follower_test.go
+++ b/pkg/follower/follower_test.go
@@ -21,14 +21,15 @@
 
 // world runs followers of one region against a store on a fake clock.
 type world struct {
-	t     *testing.T
-	now   fleet.Time
-	vms   []*vm
-	log   []record
-	docs  []uint64 // revisions, by position
-	down  map[string]bool
-	lost  func(from, to string) bool // whether a beacon is lost
-	calls int
+	t      *testing.T
+	now    fleet.Time
+	vms    []*vm
+	log    []record
+	docs   []uint64 // revisions, by position
+	down   map[string]bool
+	lost   func(from, to string) bool // whether a beacon is lost
+	calls  int
+	copies int
 }
 
 type vm struct {
@@ -128,6 +129,7 @@
 	if !want {
 		return
 	}
+	w.copies++
 	for _, other := range w.vms {
 		if fleet.VMID(other.id) != from {
 			continue
@@ -209,6 +211,43 @@
 	w.agree(11, "s9", fleet.StateLive)
 }
 
+// Guards against whole copies of the state for each lost beacon: the next beacon
+// repeats what the lost one said.
+func TestBeaconsRepeatChanges(t *testing.T) {
+	w := newWorld(t, 6)
+	w.log, w.docs = []record{{"a", fleet.StateLive}}, []uint64{1}
+	w.run(3 * time.Second)
+	w.copies = 0
+	n := 0
+	w.lost = func(_, to string) bool {
+		if to != "vm5" {
+			return false
+		}
+		n++
+		return n%2 == 0
+	}
+	for i := range 10 {
+		w.log = append(w.log, record{fmt.Sprint("s", i), fleet.StateLive})
+		w.run(500 * time.Millisecond)
+	}
+	w.run(time.Second)
+	w.agree(1, "s9", fleet.StateLive)
+	require.Zero(t, w.copies)
+}
+
+// Guards against an older document that comes later, from the store or in a copy.
+func TestOlderDocumentIsIgnored(t *testing.T) {
+	w := newWorld(t, 3)
+	w.log, w.docs = []record{{"a", fleet.StateLive}}, []uint64{5}
+	w.run(3 * time.Second)
+	w.docs = append(w.docs, 3)
+	w.run(3 * time.Second)
+	w.agree(5, "a", fleet.StateLive)
+	v := w.vms[0]
+	v.Copied(w.now, "vm1", &Copy{Document: 99}, &registry.Document{Revision: 4, Doc: &document.Document{}}, nil)
+	require.Nil(t, v.NewDocument())
+}
+
 // Guards against VMs that were cut off from the store and from each other and stay
 // behind after the cut has healed.
 func TestCutHeals(t *testing.T) {
