Name in answers to greetings only what the greeter lacks

Change: a greeting carries a hash of the known members, the answer names members only if it differs. Only the first VM of a zone greets other regions, and digests tell the size of each zone, by which the repeat budget is shared. Tests: the next VM of a zone reaches other regions; settled members are named no more.

--- a/pkg/gateway/flush.go
+++ b/pkg/gateway/flush.go
@@ -167,7 +167,7 @@
 		return
 	}
 	g.digestAt = now
-	m := &mesh.Digest{From: g.self.ID, Relay: true, Digest: g.balance.Digest(now)}
+	m := &mesh.Digest{From: g.self.ID, Relay: true, VMs: g.members.Zone(), Digest: g.balance.Digest(now)}
 	region, other := g.members.Delegates(now)
 	g.mesh.Send(m, region...)
 	if far {
@@ -196,7 +196,7 @@
 // greet sends the greetings that are due and keeps what depends on the members.
 func (g *Gateway) greet(now fleet.Time) {
 	if greetings := g.members.Greetings(now); len(greetings) > 0 && !g.draining.Load() {
-		g.mesh.Send(&mesh.Hello{Self: g.self, Fresh: time.Duration(now) < freshFor}, greetings...)
+		g.mesh.Send(&mesh.Hello{Self: g.self, Fresh: time.Duration(now) < freshFor, Known: g.members.Known(now)}, greetings...)
 	}
 	g.tellZones(now)
 	if now.Sub(g.coveredAt) >= coverInterval {
@@ -213,9 +213,9 @@
 		switch m := m.(type) {
 		case *mesh.Hello:
 			g.members.Learn(now, m.Self, true)
-			list, known := g.members.Listed(now, m.Self.Region)
-			w := &mesh.Welcome{Self: g.self, Members: list, Fleet: known, Ready: g.follower.Ready()}
-			if m.Fresh {
+			list := g.members.ListFor(now, m.Self, m.Known)
+			w := &mesh.Welcome{Self: g.self, Members: list, Fleet: g.members.Fleet(), Ready: g.follower.Ready()}
+			if m.Fresh && m.Self.Zone == g.self.Zone {
 				d := g.balance.Digest(now)
 				w.Digest = &d
 			}
@@ -229,9 +229,10 @@
 		case *mesh.Digest:
 			g.members.Hear(now, m.From)
 			g.balance.StepDigest(now, m.Digest)
+			g.members.SetZone(m.Digest.Zone, m.VMs)
 			if m.Relay {
 				zone, _ := g.members.Peers(now)
-				g.mesh.Send(&mesh.Digest{From: g.self.ID, Digest: m.Digest}, zone...)
+				g.mesh.Send(&mesh.Digest{From: g.self.ID, VMs: m.VMs, Digest: m.Digest}, zone...)
 			}
 		case *mesh.Beacon:
 			if g.hear(now, m.From, from) {
@@ -246,7 +247,7 @@
 	if g.members.Hear(now, id) {
 		return true
 	}
-	g.mesh.Send(&mesh.Hello{Self: g.self}, from.String())
+	g.mesh.Send(&mesh.Hello{Self: g.self, Known: g.members.Known(now)}, from.String())
 	return false
 }
 
@@ -256,7 +257,7 @@
 	}
 	g.members.Learn(now, m.Self, true)
 	g.members.SetFleet(m.Fleet)
-	if m.Digest != nil && m.Self.Zone == g.self.Zone {
+	if m.Digest != nil {
 		g.digest = m.Digest
 	}
 	if m.Ready {
--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 )
 
@@ -52,10 +54,11 @@
 	self     Member
 	seeds    []string
 	rows     map[fleet.VMID]*member
-	greeted  fleet.Time // last greeting of the seeds
-	gossiped fleet.Time // last greeting of a heard member
-	turn     int        // of the heard members that are greeted one after the other
-	fleet    int        // largest number of VMs that another VM knew
+	greeted  fleet.Time         // last greeting of the seeds
+	gossiped fleet.Time         // last greeting of a heard member
+	turn     int                // of the heard members that are greeted one after the other
+	fleet    int                // largest number of VMs that this or another VM knew
+	zones    map[fleet.Zone]int // VMs of other zones, by their digests
 	events   []fleet.Event
 	begun    bool
 	started  fleet.Time // first greeting
@@ -63,7 +66,7 @@
 
 // NewMembers returns a table that knows only the seeds' addresses.
 func NewMembers(self Member, seeds []string) *Members {
-	return &Members{self: self, seeds: seeds, rows: make(map[fleet.VMID]*member)}
+	return &Members{self: self, seeds: seeds, rows: make(map[fleet.VMID]*member), zones: make(map[fleet.Zone]int)}
 }
 
 // Greetings returns the addresses to greet now.
@@ -72,11 +75,12 @@
 		m.begun, m.started = true, now
 	}
 	var out []string
+	alone, leads := m.Heard(now) == 0, m.ZoneRank(now) == 0
 	interval := greetSeeds
-	if m.Heard(now) == 0 {
+	if alone {
 		interval = greetInterval
 	}
-	if m.greeted == 0 || now.Sub(m.greeted) >= interval {
+	if m.greeted == 0 || (alone || leads) && now.Sub(m.greeted) >= interval {
 		m.greeted = max(now, 1)
 		for _, s := range m.seeds {
 			if s != m.self.Addr {
@@ -84,12 +88,13 @@
 			}
 		}
 	}
+	away := m.unheardAway(now)
 	for id, r := range m.rows {
 		if now.Sub(max(r.heard, r.added)) > forgetAfter {
 			delete(m.rows, id)
 			continue
 		}
-		if (r.Region == m.self.Region && !r.live(now) || r.heard == 0) && (r.greeted == 0 || now.Sub(r.greeted) >= greetMember) {
+		if (r.Region == m.self.Region && !r.live(now) || leads && away[r]) && (r.greeted == 0 || now.Sub(r.greeted) >= greetMember) {
 			r.greeted = max(now, 1)
 			out = append(out, r.Addr)
 		}
@@ -101,6 +106,19 @@
 	return slices.Compact(out)
 }
 
+// unheardAway returns the VMs of those zones of other regions in which none was heard
+// lately. The first VM of each zone greets them, since it sends the zone's digests.
+func (m *Members) unheardAway(now fleet.Time) map[*member]bool {
+	heard := m.newest(now, func(r *member) bool { return r.Region != m.self.Region })
+	out := make(map[*member]bool)
+	for _, r := range m.rows {
+		if r.Region != m.self.Region && heard[r.Zone] == nil {
+			out[r] = true
+		}
+	}
+	return out
+}
+
 // gossip returns the address of the heard member whose turn it is to be greeted.
 // Two VMs that started at the same moment learn of each other in this way.
 func (m *Members) gossip(now fleet.Time) string {
@@ -170,17 +188,39 @@
 	}
 }
 
-// Listed returns the VMs of a region that were heard lately, and how many VMs of the
-// fleet this one knows.
-func (m *Members) Listed(now fleet.Time, region fleet.Region) (list []Member, known int) {
-	list = append(list, m.self)
-	known = 1
-	for _, r := range m.rows {
-		if r.heard == 0 {
-			continue
+// Known returns a hash of the VMs of this region that were heard lately, this one
+// included; 0 if no other was heard.
+func (m *Members) Known(now fleet.Time) uint64 {
+	hash, others := xxhash.Sum64String(string(m.self.ID)), 0
+	for id, r := range m.rows {
+		if r.Region == m.self.Region && r.listed(now) {
+			hash ^= xxhash.Sum64String(string(id))
+			others++
 		}
-		known++
-		if r.Region == region && now.Sub(r.heard) <= listedFor && len(list) < maxListed {
+	}
+	if others == 0 {
+		return 0
+	}
+	return max(hash, 1)
+}
+
+// ListFor returns the VMs to name to a VM that knows those of the hash: none when it
+// knows the same ones, or others of its own region, which tell it the rest.
+func (m *Members) ListFor(now fleet.Time, v Member, known uint64) []Member {
+	if known != 0 && (v.Region != m.self.Region || known == m.Known(now)) {
+		return nil
+	}
+	return m.Listed(now, v.Region)
+}
+
+func (r *member) listed(now fleet.Time) bool { return r.heard != 0 && now.Sub(r.heard) <= listedFor }
+
+// Listed returns the VMs of a region that were heard lately, and one of each zone
+// elsewhere.
+func (m *Members) Listed(now fleet.Time, region fleet.Region) []Member {
+	list := []Member{m.self}
+	for _, r := range m.rows {
+		if r.Region == region && r.listed(now) && len(list) < maxListed {
 			list = append(list, r.Member)
 		}
 	}
@@ -189,7 +229,7 @@
 		list = append(list, r.Member)
 	}
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	return list, known
+	return list
 }
 
 // Delegates returns the address of one VM of each other zone, for the zones of this
@@ -247,8 +287,38 @@
 // SetFleet notes how many VMs another VM knows.
 func (m *Members) SetFleet(n int) { m.fleet = max(m.fleet, n) }
 
-// Fleet returns the number of VMs of the fleet as far as known.
-func (m *Members) Fleet() int { return max(m.fleet, len(m.rows)+1) }
+// SetZone notes how many VMs another zone has, as its digests say.
+func (m *Members) SetZone(zone fleet.Zone, n int) { m.zones[zone] = max(m.zones[zone], n) }
+
+// Zone returns the number of VMs of this zone as far as known.
+func (m *Members) Zone() int {
+	n := 1
+	for _, r := range m.rows {
+		if r.Zone == m.self.Zone {
+			n++
+		}
+	}
+	return n
+}
+
+// Fleet returns the number of VMs of the fleet as far as known. It is never too small
+// for long, since it divides the repeat budget.
+func (m *Members) Fleet() int {
+	seen := make(map[fleet.Zone]int)
+	for _, r := range m.rows {
+		seen[r.Zone]++
+	}
+	seen[m.self.Zone]++
+	for zone, n := range m.zones {
+		seen[zone] = max(seen[zone], n)
+	}
+	sum := 0
+	for _, n := range seen {
+		sum += n
+	}
+	m.fleet = max(m.fleet, sum)
+	return m.fleet
+}
 
 // Heard returns the number of other VMs of the region that are heard.
 func (m *Members) Heard(now fleet.Time) int {
--- a/pkg/mesh/messages.go
+++ b/pkg/mesh/messages.go
@@ -22,9 +22,10 @@
 type Hello struct {
 	Self  Member `msgpack:"s"`
 	Fresh bool   `msgpack:"f"` // the VM has just started and knows nothing of the servers
+	Known uint64 `msgpack:"k"` // hash of the VMs of its region that it has heard; 0: none
 }
 
-// Welcome answers a greeting with the VMs of the greeter's region.
+// Welcome answers a greeting with the VMs of the greeter's region that it lacks.
 type Welcome struct {
 	Self    Member          `msgpack:"s"`
 	Members []Member        `msgpack:"m"`
@@ -38,6 +39,7 @@
 type Digest struct {
 	From   fleet.VMID     `msgpack:"f"`
 	Relay  bool           `msgpack:"y"` // to be passed on
+	VMs    int            `msgpack:"n"` // of the zone, as far as known
 	Digest balance.Digest `msgpack:"d"`
 }
 
