Pass reports and beacons to other zones through a few VMs there

Change: one VM of each other zone (two for beacons), another one each time, passes the message on in its zone. Test: relays take turns, so that a vanished one misses few messages.

--- a/pkg/gateway/flush.go
+++ b/pkg/gateway/flush.go
@@ -7,7 +7,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/fulmarbeam/fulmarbeam/pkg/balance"
 	"github.com/fulmarbeam/fulmarbeam/pkg/document"
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/follower"
@@ -22,6 +21,13 @@
 // freshFor is how long a VM that has just started asks for the region's beliefs.
 const freshFor = 3 * time.Second
 
+// VMs of each other zone of the region that get a message to pass it on. A beacon that
+// does not arrive makes a VM read the store.
+const (
+	reportRelays = 1
+	beaconRelays = 2
+)
+
 // Pauses between two digests, and between two looks at the zones without a VM.
 const (
 	digestNear    = 250 * time.Millisecond // to the region's other zones
@@ -65,20 +71,23 @@
 	if zoneReport == nil && regionReport == nil && len(beacons) == 0 {
 		return
 	}
-	zone, region := g.members.Peers(now)
-	g.sendReport(zoneReport, zone)
-	g.sendReport(regionReport, region)
+	zone, _ := g.members.Peers(now)
+	if zoneReport != nil {
+		g.mesh.Send(&mesh.Report{From: g.self.ID, Report: *zoneReport}, zone...)
+	}
+	if regionReport != nil {
+		g.mesh.Send(&mesh.Report{From: g.self.ID, Relay: true, Report: *regionReport}, g.members.Relays(now, reportRelays)...)
+	}
 	for _, b := range beacons {
-		m := &mesh.Beacon{From: g.self.ID, Beacon: b}
-		g.mesh.Send(m, zone...)
-		g.mesh.Send(m, region...)
+		g.mesh.Send(&mesh.Beacon{From: g.self.ID, Beacon: b}, zone...)
+		g.mesh.Send(&mesh.Beacon{From: g.self.ID, Relay: true, Beacon: b}, g.members.Relays(now, beaconRelays)...)
 	}
 }
 
-func (g *Gateway) sendReport(r *balance.Report, to []string) {
-	if r != nil {
-		g.mesh.Send(&mesh.Report{From: g.self.ID, Report: *r}, to...)
-	}
+// relay passes a message of another zone on to the VMs of this one.
+func (g *Gateway) relay(now fleet.Time, m fleet.Message) {
+	zone, _ := g.members.Peers(now)
+	g.mesh.Send(m, zone...)
 }
 
 // startCalls starts the calls to the store and to other VMs that are due.
@@ -226,18 +235,23 @@
 			if g.hear(now, m.From, from) {
 				g.balance.StepReport(now, m.From, m.Report)
 			}
+			if m.Relay {
+				g.relay(now, &mesh.Report{From: m.From, Report: m.Report})
+			}
 		case *mesh.Digest:
 			g.members.Hear(now, m.From)
 			g.balance.StepDigest(now, m.Digest)
 			g.members.SetZone(m.Digest.Zone, m.VMs)
 			if m.Relay {
-				zone, _ := g.members.Peers(now)
-				g.mesh.Send(&mesh.Digest{From: g.self.ID, VMs: m.VMs, Digest: m.Digest}, zone...)
+				g.relay(now, &mesh.Digest{From: g.self.ID, VMs: m.VMs, Digest: m.Digest})
 			}
 		case *mesh.Beacon:
 			if g.hear(now, m.From, from) {
 				g.follower.StepBeacon(now, m.From, g.members.Rank(now, m.From), m.Beacon)
 			}
+			if m.Relay {
+				g.relay(now, &mesh.Beacon{From: m.From, Beacon: m.Beacon})
+			}
 		}
 	})
 }
--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -56,6 +56,7 @@
 	rows     map[fleet.VMID]*member
 	greeted  fleet.Time         // last greeting of the seeds
 	gossiped fleet.Time         // last greeting of a heard member
+	relayed  int                // turn of the VMs that relay to other zones
 	turn     int                // of the heard members that are greeted one after the other
 	fleet    int                // largest number of VMs that this or another VM knew
 	zones    map[fleet.Zone]int // VMs of other zones, by their digests
@@ -346,6 +347,28 @@
 	return zone, region
 }
 
+// Relays returns the addresses of n heard VMs of each other zone of the region. They
+// change with each call, so that one that has vanished without notice misses few
+// messages.
+func (m *Members) Relays(now fleet.Time, n int) []string {
+	zones := make(map[fleet.Zone][]string)
+	for _, r := range m.rows {
+		if r.Region == m.self.Region && r.Zone != m.self.Zone && r.live(now) {
+			zones[r.Zone] = append(zones[r.Zone], r.Addr)
+		}
+	}
+	var out []string
+	for _, list := range zones {
+		slices.Sort(list)
+		for i := range min(n, len(list)) {
+			out = append(out, list[(m.relayed+i)%len(list)])
+		}
+	}
+	m.relayed += n
+	slices.Sort(out)
+	return out
+}
+
 // Rank returns the place of a VM among the heard VMs of the region.
 func (m *Members) Rank(now fleet.Time, id fleet.VMID) int {
 	rank := 0
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -145,6 +145,27 @@
 	}
 }
 
+// Guards against a VM that vanished without notice and keeps getting the messages that
+// it should pass on to its zone.
+func TestRelaysTakeTurns(t *testing.T) {
+	w := newWorld(20, 0, 1, 2)
+	w.run(3 * time.Second)
+	v, used := w.vms[0], map[string]int{}
+	for range 10 {
+		to := v.Relays(w.now, 2)
+		require.Len(t, to, 2)
+		for _, a := range to {
+			require.Equal(t, v.self.Region, w.at(a).self.Region)
+			require.NotEqual(t, v.self.Zone, w.at(a).self.Zone)
+			used[a]++
+		}
+	}
+	require.Len(t, used, 5, "all VMs of the other zone")
+	for a, n := range used {
+		require.Equal(t, 4, n, a)
+	}
+}
+
 // Guards against greetings whose answers name VMs that the greeter knows already:
 // between regions they cost more than all other messages together.
 func TestAnswersNameOnlyWhatIsNew(t *testing.T) {
--- a/pkg/mesh/messages.go
+++ b/pkg/mesh/messages.go
@@ -43,15 +43,18 @@
 	Digest balance.Digest `msgpack:"d"`
 }
 
-// Report carries a balancer's report.
+// Report carries a balancer's report. The VM that gets one to be passed on sends it to
+// the other VMs of its zone, so that it crosses zones once.
 type Report struct {
 	From   fleet.VMID     `msgpack:"f"`
+	Relay  bool           `msgpack:"y,omitempty"`
 	Report balance.Report `msgpack:"r"`
 }
 
-// Beacon carries what the region's reader read.
+// Beacon carries what the region's reader read. It is passed on like a report.
 type Beacon struct {
 	From   fleet.VMID      `msgpack:"f"`
+	Relay  bool            `msgpack:"y,omitempty"`
 	Beacon follower.Beacon `msgpack:"b"`
 }
 
