Send the first digests to other regions at once after a start

The zone's healthy servers were busy, and the zones of other regions counted as full, since none had been heard: the first digest to other regions came two seconds after the start.

--- a/pkg/gateway/flush.go
+++ b/pkg/gateway/flush.go
@@ -28,12 +28,8 @@
 	beaconRelays = 2
 )
 
-// Pauses between two digests, and between two looks at the zones without a VM.
-const (
-	digestNear    = 250 * time.Millisecond // to the region's other zones
-	digestFar     = 2 * time.Second        // to other regions
-	coverInterval = 250 * time.Millisecond
-)
+// coverInterval is the pause between two looks at the zones without a VM.
+const coverInterval = 250 * time.Millisecond
 
 // flush passes on what the deterministic state produced. The caller holds the lock.
 func (g *Gateway) flush(now fleet.Time) {
@@ -171,16 +167,15 @@
 // tellZones sends the zone's beliefs to one VM of each other zone. The zone's first VM
 // does so for all.
 func (g *Gateway) tellZones(now fleet.Time) {
-	near, far := now.Sub(g.digestAt) >= digestNear, now.Sub(g.digestFar) >= digestFar
-	if !near || g.members.ZoneRank(now) > 0 {
+	if !g.digests.nearDue(now) || g.members.ZoneRank(now) > 0 {
 		return
 	}
-	g.digestAt = now
 	m := &mesh.Digest{From: g.self.ID, Relay: true, VMs: g.members.Zone(), Digest: g.balance.Digest(now)}
 	region, other := g.members.Delegates(now)
+	g.digests.near = now
 	g.mesh.Send(m, region...)
-	if far {
-		g.digestFar = now
+	if len(other) > 0 && g.digests.farDue(now) {
+		g.digests.far = now
 		g.mesh.Send(m, other...)
 	}
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -82,8 +82,7 @@
 	searching  bool
 	searchedAt fleet.Time
 	digest     *balance.Digest // of a VM of the zone, until there are servers to apply it to
-	digestAt   fleet.Time      // last digest to the region's other zones
-	digestFar  fleet.Time      // last digest to other regions
+	digests    digestTimes
 	coveredAt  fleet.Time
 }
 
