--- a/pkg/gateway/digests.go
+++ b/pkg/gateway/digests.go
@@ -19,7 +19,9 @@
 	near, far fleet.Time
 }
 
-func (d digestTimes) nearDue(now fleet.Time) bool { return d.near == 0 || now.Sub(d.near) >= digestNear }
+func (d digestTimes) nearDue(now fleet.Time) bool {
+	return d.near == 0 || now.Sub(d.near) >= digestNear
+}
 
 // farDue reports whether other regions get a digest. They send nothing to a zone that
 // they have not heard of, so the first digests come soon after the start.
