Keep the document's limits on callers' headers and idle time

Cause: the operator's limits on headers and idle connections were translated and not enforced; the settings' wider ones were. Change: connections of callers apply the document in force: size of a header, time from its first to its last byte, idle time between requests. A longer idle time reaches connections that are idle already. Ruled out: fields of http.Server, which are read by all connections and cannot change with the document.

--- a/pkg/proxy/guard.go
+++ b/pkg/proxy/guard.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 
@@ -23,14 +25,14 @@
 // Listener wraps a listener for callers. Its connections check HTTP/1 framing more
 // strictly than net/http, which accepts some ambiguous forms: a length together with
 // a transfer coding, repeated lengths, folded headers, bare line feeds, and transfer
-// codings in HTTP/1.0.
+// codings in HTTP/1.0. They also keep the document's limits for callers.
 func (p *Proxy) Listener(l net.Listener) net.Listener {
-	return &guardListener{Listener: l, limit: p.limits.HeaderBytes}
+	return &guardListener{Listener: l, limits: p.callerLimits}
 }
 
 type guardListener struct {
 	net.Listener
-	limit int
+	limits func() callerLimits
 }
 
 // Accept returns the next connection, guarded.
@@ -39,15 +41,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &guardConn{Conn: c, scan: scanner{limit: l.limit}}, nil
+	return &guardConn{Conn: c, limits: l.limits, scan: scanner{limit: l.limits().header}}, nil
 }
 
 // guardConn scans what a caller sends. net/http never sees the byte that completes a
 // violation: it gets an error instead, answers and closes.
 type guardConn struct {
 	net.Conn
+	limits func() callerLimits
 	scan   scanner
 	failed *guardError
+	timer  callerTimer
 }
 
 // Read reads and scans bytes of the caller.
@@ -56,7 +60,14 @@
 		return 0, c.failed
 	}
 	n, err := c.Conn.Read(p)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.stayIdle() {
+		n, err = c.Conn.Read(p)
+	}
+	if n > 0 && c.scan.idle() {
+		c.scan.limit = c.limits().header
+	}
 	ok, bad := c.scan.feed(p[:n])
+	c.scanned()
 	if bad != nil {
 		c.failed = bad
 		if ok == 0 {
@@ -138,6 +149,15 @@
 	length  int64 // -1 when absent
 	coding  int   // number of Transfer-Encoding headers
 	old     bool  // the request is not HTTP/1.1
+	served  bool  // a whole request header was read before
+}
+
+// idle reports whether the caller is between two requests.
+func (s *scanner) idle() bool { return s.state == scanRequestLine && len(s.line) == 0 }
+
+// inHeader reports whether a part of a header was read.
+func (s *scanner) inHeader() bool {
+	return s.state == scanHeader || s.state == scanRequestLine && len(s.line) > 0
 }
 
 func violation(format string, args ...any) *guardError {
@@ -313,6 +333,7 @@
 
 // endHead decides how the body is framed.
 func (s *scanner) endHead() *guardError {
+	s.served = true
 	switch {
 	case s.coding > 0 && s.length >= 0:
 		return violation("both Content-Length and Transfer-Encoding")
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -49,12 +49,13 @@
 	late     bool // reservations come with a dispatch limit in the past
 	byKey    map[string]keys.Decision
 	draining atomic.Bool
+	index    atomic.Pointer[document.Index]
 	ids      atomic.Uint64
 	events   []fleet.Event // guarded by mu
 }
 
 func (e *fakeEngine) Now() fleet.Time           { return fleet.Time(time.Since(e.origin)) }
-func (e *fakeEngine) Routes() *document.Index   { return nil }
+func (e *fakeEngine) Routes() *document.Index   { return e.index.Load() }
 func (e *fakeEngine) WaitReady(context.Context) {}
 func (e *fakeEngine) Split(m document.RouteMatch) fleet.Service {
 	return m.Route.Backends[0].Service
