Log what the server of a late attempt does

Cause: of ten failed requests explained from the logs, three 504s could not be told apart: long work and a slow server look alike in the request's line (docs/incidents/ten-requests.md). Test: the line for a server that serves others and for one that serves nobody (no such line before).

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -342,3 +342,35 @@
 	}
 	require.LessOrEqual(t, healthySuspects, 2)
 }
+
+// Guards against a request that ran out of time and whose log does not tell long work
+// from a server that serves nobody.
+func TestLateAttemptSaysWhatItsServerDoes(t *testing.T) {
+	for _, healthy := range []bool{true, false} {
+		r := newRig(t, "a")
+		r.known("a")
+		d := r.choose(func(w *pool.Work) { w.Request = "req-1" })
+		require.Equal(t, result.OK, d.Code)
+		for range 6 {
+			r.now = r.now.Add(200 * time.Millisecond)
+			if healthy {
+				r.known("a")
+			}
+			r.Tick(r.now)
+		}
+		var late []fleet.Event
+		for _, e := range r.Events() {
+			if e.Kind == "attempt_late" {
+				late = append(late, e)
+			}
+		}
+		require.Len(t, late, 1)
+		require.Equal(t, "req-1", late[0].Request)
+		require.Equal(t, fleet.ServerID("a"), late[0].Server)
+		want := "0"
+		if !healthy {
+			want = late[0].Detail["after_ms"]
+		}
+		require.Equal(t, want, late[0].Detail["served_ms_ago"])
+	}
+}
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -260,6 +260,6 @@
 func (b *Balancer) start(now fleet.Time, w pool.Work, s *server) {
 	s.local++
 	s.used = now
-	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, at: now, final: !w.Idempotent || w.Repeats < 1}
+	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, request: w.Request, at: now, final: !w.Idempotent || w.Repeats < 1}
 	b.zone.touch(now)
 }
--- a/pkg/balance/observe.go
+++ b/pkg/balance/observe.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
@@ -89,6 +90,9 @@
 		s.health.observe(at, o.Outcome)
 		s.seen = max(s.seen, at)
 	}
+	if o.Outcome == OutcomeOK {
+		s.served = max(s.served, at)
+	}
 	if o.Pace > 0 {
 		s.addPace(now, float64(o.Pace))
 	}
@@ -123,6 +127,7 @@
 	for _, a := range b.lateAttempts(now) {
 		a.late = true
 		if s := b.servers[a.server]; s != nil {
+			b.noteLate(now, a, s)
 			obs := Observation{Server: a.server, Outcome: OutcomeLate, Pace: float32(now.Sub(a.at).Seconds() / b.route(a.route).time().Seconds())}
 			b.observe(now, s, obs, true, true)
 			b.tell(now, s, obs)
@@ -140,6 +145,20 @@
 	}
 }
 
+// noteLate records what is known of the server of a late attempt: one that serves
+// others at its usual pace has long work, one that serves nobody is slow or silent.
+func (b *Balancer) noteLate(now fleet.Time, a *attempt, s *server) {
+	served := "never"
+	if s.served != 0 {
+		served = strconv.FormatInt(now.Sub(s.served).Milliseconds(), 10)
+	}
+	b.event(fleet.Event{Kind: "attempt_late", Service: a.service, Server: a.server, Request: a.request, Reason: "no answer yet",
+		Detail: map[string]string{
+			"after_ms": strconv.FormatInt(now.Sub(a.at).Milliseconds(), 10), "served_ms_ago": served,
+			"pace": strconv.FormatFloat(s.paceNow(now), 'f', 2, 64), "belief": formatBelief(s.health.now(now)), "load": strconv.Itoa(s.load()),
+		}})
+}
+
 // lateAttempts returns attempts that became late, in a fixed order.
 func (b *Balancer) lateAttempts(now fleet.Time) []*attempt {
 	var out []*attempt
--- a/pkg/balance/table.go
+++ b/pkg/balance/table.go
@@ -33,6 +33,7 @@
 	elsewhere   int // those of other zones' VMs, by the last digest
 	elsewhereAt fleet.Time
 	seen        fleet.Time // last outcome that a VM of the region saw; 0 for none
+	served      fleet.Time // last success that a VM of the region saw; 0 for none
 	used        fleet.Time
 	tried       fleet.Time // last trial by this VM
 	warmUntil   fleet.Time
@@ -47,6 +48,7 @@
 	server  fleet.ServerID
 	service fleet.Service
 	route   string
+	request string // its id, for events
 	at      fleet.Time
 	final   bool // a failure is not repeated elsewhere
 	late    bool
