Play a fleet's decisions on a simulated clock

Change: pkg/fleetsim runs the balancers of all VMs against modelled servers, with reports and digests on the network's delays; fulmarbench decisions plays scenarios/decisions (turns, crest, restart of all VMs). The schedule of digests moved to pkg/balance.

--- a/cmd/fulmarbench/commands.go
+++ b/cmd/fulmarbench/commands.go
@@ -66,7 +66,7 @@
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
-	root.AddCommand(newRun(), newSlopes())
+	root.AddCommand(newRun(), newSlopes(), newDecisions())
 	return root
 }
 
--- /dev/null
+++ b/cmd/fulmarbench/decisions.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleetsim"
+)
+
+func newDecisions() *cobra.Command {
+	var seed uint64
+	var runs int
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "decisions SCENARIO...",
+		Short: "Play decisions of a fleet on a platform with a store on a simulated clock",
+		Long: `Runs the balancers of all VMs of each scenario against modelled servers on a simulated
+clock, in this process, and prints what became of the requests. The same scenario and
+seed give the same report.`,
+		Example: "  fulmarbench decisions scenarios/decisions/turns.jsonc --runs 10",
+		Args: func(cmd *cobra.Command, args []string) error {
+			return usage(cobra.MinimumNArgs(1)(cmd, args))
+		},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if runs < 1 {
+				return usage(errors.NotValidf("--runs %d", runs))
+			}
+			for _, path := range args {
+				if err := playDecisions(cmd, path, seed, runs, asJSON); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the first run")
+	cmd.Flags().IntVar(&runs, "runs", 1, "runs of each scenario, with consecutive seeds")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object a run")
+	return cmd
+}
+
+func playDecisions(cmd *cobra.Command, path string, seed uint64, runs int, asJSON bool) error {
+	s, err := fleetsim.Load(path)
+	if err != nil {
+		return usage(err)
+	}
+	out := cmd.OutOrStdout()
+	var sum fleetsim.Ratios
+	for i := range runs {
+		r, err := fleetsim.Run(s, seed+uint64(i))
+		if err != nil {
+			return usage(err)
+		}
+		sum.Add(r.Ratios)
+		if asJSON {
+			if err := json.NewEncoder(out).Encode(r); err != nil {
+				return errors.Trace(err)
+			}
+		}
+	}
+	if !asJSON {
+		m := sum.Over(runs)
+		_, err = fmt.Fprintf(out, "%-10s %d runs: in time %.4f by weight, late %.4f, unserved %.4f, repeats %.4f, KB/s between zones %.1f, between regions %.1f\n",
+			s.Name, runs, m.InTime, m.Late, m.Unserved, m.Repeats, m.ZoneKBs, m.RegionKBs)
+	}
+	return errors.Trace(err)
+}
--- a/pkg/gateway/digests.go
+++ b/pkg/balance/schedule.go
@@ -1,4 +1,4 @@
-package gateway
+package balance
 
 import (
 	"time"
@@ -14,21 +14,22 @@
 	settleTime   = 5 * time.Second        // how long a VM counts as just started
 )
 
-// digestTimes holds when this VM sent its zone's last digests; 0 for none.
-type digestTimes struct {
-	near, far fleet.Time
+// DigestTimes holds when a VM sent its zone's last digests; 0 for none.
+type DigestTimes struct {
+	Near, Far fleet.Time
 }
 
-func (d digestTimes) nearDue(now fleet.Time) bool {
-	return d.near == 0 || now.Sub(d.near) >= digestNear
+// NearDue reports whether the region's other zones get a digest.
+func (d DigestTimes) NearDue(now fleet.Time) bool {
+	return d.Near == 0 || now.Sub(d.Near) >= digestNear
 }
 
-// farDue reports whether other regions get a digest. They send nothing to a zone that
+// FarDue reports whether other regions get a digest. They send nothing to a zone that
 // they have not heard of, so the first digests come soon after the start.
-func (d digestTimes) farDue(now fleet.Time) bool {
+func (d DigestTimes) FarDue(now fleet.Time) bool {
 	interval := digestFar
 	if time.Duration(now) < settleTime {
 		interval = digestSettle
 	}
-	return d.far == 0 || now.Sub(d.far) >= interval
+	return d.Far == 0 || now.Sub(d.Far) >= interval
 }
--- a/pkg/gateway/digests_test.go
+++ b/pkg/balance/schedule_test.go
@@ -1,4 +1,4 @@
-package gateway
+package balance
 
 import (
 	"testing"
@@ -12,11 +12,11 @@
 // Guards against zones that other regions take for full for two seconds after all VMs
 // restarted, while their requests go to servers that are known to fail.
 func TestFirstDigestsComeSoon(t *testing.T) {
-	var d digestTimes
+	var d DigestTimes
 	var sent []time.Duration
 	for now := fleet.Time(10 * time.Millisecond); now < fleet.Time(10*time.Second); now = now.Add(10 * time.Millisecond) {
-		if d.farDue(now) {
-			d.far = now
+		if d.FarDue(now) {
+			d.Far = now
 			sent = append(sent, time.Duration(now))
 		}
 	}
--- a/pkg/gateway/flush.go
+++ b/pkg/gateway/flush.go
@@ -167,15 +167,15 @@
 // tellZones sends the zone's beliefs to one VM of each other zone. The zone's first VM
 // does so for all.
 func (g *Gateway) tellZones(now fleet.Time) {
-	if !g.digests.nearDue(now) || g.members.ZoneRank(now) > 0 {
+	if !g.digests.NearDue(now) || g.members.ZoneRank(now) > 0 {
 		return
 	}
 	m := &mesh.Digest{From: g.self.ID, Relay: true, VMs: g.members.Zone(), Digest: g.balance.Digest(now)}
 	region, other := g.members.Delegates(now)
-	g.digests.near = now
+	g.digests.Near = now
 	g.mesh.Send(m, region...)
-	if len(other) > 0 && g.digests.farDue(now) {
-		g.digests.far = now
+	if len(other) > 0 && g.digests.FarDue(now) {
+		g.digests.Far = now
 		g.mesh.Send(m, other...)
 	}
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -82,7 +82,7 @@
 	searching  bool
 	searchedAt fleet.Time
 	digest     *balance.Digest // of a VM of the zone, until there are servers to apply it to
-	digests    digestTimes
+	digests    balance.DigestTimes
 	coveredAt  fleet.Time
 }
 
