--- /dev/null
+++ b/pkg/gateway/relay_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/balance"
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/follower"
+	"github.com/fulmarbeam/fulmarbeam/pkg/mesh"
+	"github.com/fulmarbeam/fulmarbeam/pkg/proxy"
+	"github.com/fulmarbeam/fulmarbeam/pkg/settings"
+)
+
+// patience bounds waits for a condition; it is never part of a verdict.
+const patience = 30 * time.Second
+
+// recorder is another VM that keeps the messages it gets.
+type recorder struct {
+	mesh.Member
+	mu  sync.Mutex
+	got []fleet.Message
+}
+
+func (r *recorder) Datagram(_ netip.AddrPort, m fleet.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.got = append(r.got, m)
+}
+
+func (r *recorder) GiveCopy() *follower.Copy { return nil }
+
+func (r *recorder) messages() []fleet.Message {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]fleet.Message(nil), r.got...)
+}
+
+func newRecorder(t *testing.T, id, zone string) *recorder {
+	r := &recorder{Member: mesh.Member{ID: fleet.VMID(id), Region: "addis", Zone: fleet.Zone(zone)}}
+	transport, err := mesh.Listen("127.0.0.1:0", r, logr.Discard())
+	require.NoError(t, err)
+	t.Cleanup(func() { transport.Close() })
+	r.Addr = transport.Addr()
+	go transport.Serve()
+	return r
+}
+
+// Guards against messages of another zone that end at the VM that should pass them on,
+// and against ones that are passed on for ever.
+func TestMessagesOfOtherZonesArePassedOn(t *testing.T) {
+	s := settings.DefaultGateway()
+	s.VM = settings.VM{ID: "vm-a", Region: "addis", Zone: "addis-a"}
+	s.Zones = map[string]string{"addis-a": "addis", "addis-b": "addis"}
+	s.Listen = settings.GatewayListen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Links: "127.0.0.1:0"}
+	dialect := proxy.DefaultDialect()
+	g, err := New(Config{Settings: s, Dialect: &dialect, ReadyPath: "/ready", Logger: logr.Discard(), Metrics: metrics.NewSet()})
+	require.NoError(t, err)
+	defer g.Close()
+
+	neighbour, sender := newRecorder(t, "vm-n", "addis-a"), newRecorder(t, "vm-b", "addis-b")
+	from := netip.MustParseAddrPort(sender.Addr)
+	for _, other := range []*recorder{neighbour, sender} {
+		g.members.Learn(g.Now(), other.Member, true)
+	}
+	report := balance.Report{Zone: "addis-b", Observations: []balance.Observation{{Server: "s1", Outcome: balance.OutcomeFailed}}}
+	beacon := follower.Beacon{From: 3, To: 5, Document: 1}
+	digest := balance.Digest{Zone: "addis-b", Beliefs: []balance.Belief{{Server: "s1", Risk: 0.9, Load: 2}}}
+
+	g.Datagram(from, &mesh.Report{From: sender.ID, Report: report})
+	g.Datagram(from, &mesh.Report{From: sender.ID, Relay: true, Report: report})
+	g.Datagram(from, &mesh.Beacon{From: sender.ID, Relay: true, Beacon: beacon})
+	g.Datagram(from, &mesh.Digest{From: sender.ID, Relay: true, VMs: 4, Digest: digest})
+
+	var reports []*mesh.Report
+	var beacons []*mesh.Beacon
+	var digests []*mesh.Digest
+	require.Eventually(t, func() bool {
+		reports, beacons, digests = nil, nil, nil
+		for _, m := range neighbour.messages() {
+			switch m := m.(type) {
+			case *mesh.Report:
+				if m.From == sender.ID {
+					reports = append(reports, m)
+				}
+			case *mesh.Beacon:
+				beacons = append(beacons, m)
+			case *mesh.Digest:
+				digests = append(digests, m)
+			}
+		}
+		return len(reports) > 0 && len(beacons) > 0 && len(digests) > 0
+	}, patience, 5*time.Millisecond)
+	require.Equal(t, []*mesh.Report{{From: sender.ID, Report: report}}, reports)
+	require.Equal(t, []*mesh.Beacon{{From: sender.ID, Beacon: beacon}}, beacons)
+	require.Equal(t, []*mesh.Digest{{From: g.self.ID, VMs: 4, Digest: digest}}, digests)
+	require.Equal(t, 4+2, g.members.Fleet())
+	for _, m := range sender.messages() {
+		_, isDigest := m.(*mesh.Digest)
+		require.False(t, isDigest, "a digest went back to its zone")
+	}
+}
