Make the test of the header's time limit able to fail

Cause: with the document's limit on a header's time removed, TestHeaderTimeOfTheDocument passed after 10 s: the settings' limit of 5 s ended its connections. Change: the settings of that test bound no time, so that only the document does. The test fails without the limit now. No code changed.

--- a/pkg/proxy/callerlimits_test.go
+++ b/pkg/proxy/callerlimits_test.go
@@ -14,9 +14,10 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/document"
 )
 
-// limitedRig is a rig whose document bounds what callers may send.
+// limitedRig is a rig whose document bounds what callers may send. Its settings bound
+// no time, so that only the document can end a connection.
 func limitedRig(t *testing.T, c document.Callers) *rig {
-	r := newRig(t, rigOptions{backends: 1})
+	r := newRig(t, rigOptions{backends: 1, limits: Limits{HeaderTime: time.Hour, KeepAlive: time.Hour}})
 	r.limit(c)
 	return r
 }
