Test that only a zone's first VM greets other regions

Cause: without these greetings all tests passed: in the test of the next VM the other regions' digests made them known. Result: the test fails without the greetings, and when all VMs greet. No code changed.

--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -275,3 +275,15 @@
 	_, err = tb.FetchCopy(context.Background(), "vm2", ta.Addr())
 	require.Error(t, err, "a VM without a copy gives none")
 }
+
+// Guards against a zone without a VM to send its digests to, although one was named,
+// and against VMs that all greet other regions.
+func TestOnlyTheFirstVMGreetsOtherRegions(t *testing.T) {
+	far := Member{ID: "far", Addr: "10.0.0.9:70", Region: "hawassa", Zone: "hawassa-0"}
+	for _, id := range []fleet.VMID{"vm1", "vm3"} {
+		m := NewMembers(Member{ID: id, Addr: "10.0.0.1:70", Region: "addis", Zone: "addis-0"}, nil)
+		m.Learn(1, Member{ID: "vm2", Addr: "10.0.0.2:70", Region: "addis", Zone: "addis-0"}, true)
+		m.Learn(1, far, false)
+		require.Equal(t, id == "vm1", slices.Contains(m.Greetings(2), far.Addr), id)
+	}
+}
