--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
@@ -15,6 +17,8 @@
 	inZone distance = iota
 	inRegion
 	otherRegion
+
+	distances = 3 // number of distances
 )
 
 // String returns the distance's name in events.
@@ -30,6 +34,7 @@
 
 	local             int // this VM's requests in flight
 	remote            int // requests in flight of other VMs, by their last reports
+	previousLoad      int // requests in flight of the VM whose report is being applied, by its report before
 	digestLoad        int // requests in flight from outside this VM, by the last digest of the server's zone
 	digestLoadUpdated fleet.Time
 	lastOutcome       fleet.Time // last outcome known to this VM; 0 for none
@@ -57,6 +62,7 @@
 // service is the state of one service.
 type service struct {
 	servers   map[fleet.ServerID]*server
+	sorted    *[distances][]*server // servers by distance, sorted by ID; nil after a change
 	retries   retryWindow
 	failures  decayingRatio            // of requests through this zone's VMs
 	zoneStats map[fleet.Zone]zoneStats // failures reported by other zones
@@ -64,7 +70,7 @@
 
 // peer is the state of another VM.
 type peer struct {
-	loads      map[fleet.ServerID]int
+	loads      []Load
 	lastReport fleet.Time
 }
 
@@ -133,7 +139,24 @@
 		return
 	}
 	delete(b.servers, id)
-	delete(b.service(s.entry.Server.Service).servers, id)
+	svc := b.service(s.entry.Server.Service)
+	delete(svc.servers, id)
+	svc.sorted = nil
+}
+
+// byDistance returns the service's servers by distance. The order does not depend on the order of
+// the map, so that choices can be reproduced.
+func (s *service) byDistance() *[distances][]*server {
+	if s.sorted == nil {
+		s.sorted = new([distances][]*server)
+		for _, srv := range s.servers {
+			s.sorted[srv.distance] = append(s.sorted[srv.distance], srv)
+		}
+		for _, group := range s.sorted {
+			slices.SortFunc(group, func(x, y *server) int { return cmp.Compare(x.entry.Server.ID, y.entry.Server.ID) })
+		}
+	}
+	return s.sorted
 }
 
 func (b *Balancer) update(now fleet.Time, e registry.Entry) {
@@ -151,9 +174,15 @@
 		warmUntil: now.Add(e.Warmup), lastUsed: now,
 	}
 	b.servers[e.Server.ID] = s
-	b.service(e.Server.Service).servers[e.Server.ID] = s
+	svc := b.service(e.Server.Service)
+	svc.servers[e.Server.ID] = s
+	svc.sorted = nil
 	for _, p := range b.peers {
-		s.remote += p.loads[e.Server.ID]
+		for _, l := range p.loads {
+			if l.Server == e.Server.ID {
+				s.remote += l.InFlight
+			}
+		}
 	}
 }
 
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -121,28 +121,30 @@
 	return pool.Decision{Work: w.ID, Server: best.server.entry.Server, Trial: trial != nil, Selection: inputs}
 }
 
+// candidates evaluates the servers that may be the cheapest, nearest first. Servers of another zone
+// or region are left out if the cost of the transfer alone exceeds the cost of a nearer server.
 func (b *Balancer) candidates(now fleet.Time, svc *service, w pool.Work) []candidate {
 	r := b.route(w.Route)
-	out := make([]candidate, 0, len(svc.servers))
-	for id, s := range svc.servers {
-		if s.entry.Server.State != fleet.StateLive || now < s.leavingUntil || slices.Contains(w.Exclude, id) {
+	var out []candidate
+	best := math.Inf(1)
+	for d, servers := range svc.byDistance() {
+		d := distance(d)
+		if best <= b.transferCost(d, r, w) && (d != inRegion || len(b.coveredZones) == 0) {
 			continue
 		}
-		c := b.evaluate(now, s, r, w)
-		if s.distance == otherRegion && svc.zoneUnavailable(now, s.entry.Server.Zone) {
-			c.cost += busyZoneCost
+		out = slices.Grow(out, len(servers))
+		for _, s := range servers {
+			if s.entry.Server.State != fleet.StateLive || now < s.leavingUntil || slices.Contains(w.Exclude, s.entry.Server.ID) {
+				continue
+			}
+			c := b.evaluate(now, s, r, w)
+			if d == otherRegion && svc.zoneUnavailable(now, s.entry.Server.Zone) {
+				c.cost += busyZoneCost
+			}
+			c.cost += costJitter * b.rng.float()
+			best = min(best, c.cost)
+			out = append(out, c)
 		}
-		out = append(out, c)
-	}
-	// The random map order must not influence the choice.
-	slices.SortFunc(out, func(x, y candidate) int {
-		if x.server.entry.Server.ID < y.server.entry.Server.ID {
-			return -1
-		}
-		return 1
-	})
-	for i := range out {
-		out[i].cost += costJitter * b.rng.float()
 	}
 	return out
 }
@@ -172,7 +174,7 @@
 	if !c.meetsDeadline {
 		failure = 1
 	}
-	c.cost = failure + latencyCost*lateness(c.queueWait+c.serviceTime, w.LatencyObjective) + loadCost*load/slots + highLoadCost*max(0, load/slots-highLoadThreshold) + b.transferCost(s, r, w)
+	c.cost = failure + latencyCost*lateness(c.queueWait+c.serviceTime, w.LatencyObjective) + loadCost*load/slots + highLoadCost*max(0, load/slots-highLoadThreshold) + b.transferCost(s.distance, r, w)
 	return c
 }
 
@@ -185,9 +187,9 @@
 	return min(max(x, 0), 1)
 }
 
-func (b *Balancer) transferCost(s *server, r *route, w pool.Work) float64 {
+func (b *Balancer) transferCost(d distance, r *route, w pool.Work) float64 {
 	kb := float64(w.Bytes)/1024 + r.bytes.mean + headersKB
-	switch s.distance {
+	switch d {
 	case inRegion:
 		return crossZoneCost + kb*b.cfg.Prices.CrossZonePerKB
 	case otherRegion:
--- a/pkg/balance/observe.go
+++ b/pkg/balance/observe.go
@@ -22,6 +22,8 @@
 	slowdownWeight        = 0.3             // of a new value
 	peerTimeout           = 1500 * time.Millisecond
 	maxSlowdown           = 20
+	maxReportedLoad       = 1 << 16          // requests in flight of one VM at one server; a report with more is wrong
+	maxObservationAge     = 10 * time.Second // an older observation in a report is not evidence
 )
 
 // currentSlowdown returns the server's slowdown, which decays towards 1.
@@ -101,11 +103,14 @@
 	if (failed && o.Final || o.Outcome == OutcomeOK) && (own || fromZone) {
 		b.service(s.entry.Server.Service).failures.add(now, failed)
 	}
-	b.recordSuspectChange(s, o, before, s.health.riskAt(now), own)
+	if own {
+		b.recordSuspectChange(s, o, before, s.health.riskAt(now))
+	}
 }
 
-// recordSuspectChange records that a server became a suspect or stopped being one.
-func (b *Balancer) recordSuspectChange(s *server, o Observation, before, after float64, own bool) {
+// recordSuspectChange records that an outcome at this VM made a server a suspect or ended that. What other
+// VMs report is recorded there, since one line at each VM would grow with the square of the fleet.
+func (b *Balancer) recordSuspectChange(s *server, o Observation, before, after float64) {
 	kind := fleet.EventKind("")
 	switch {
 	case before < suspectThreshold && after >= suspectThreshold:
@@ -115,12 +120,8 @@
 	default:
 		return
 	}
-	source := "peer"
-	if own {
-		source = "own"
-	}
 	b.event(fleet.Event{Kind: kind, Service: s.entry.Server.Service, Server: s.entry.Server.ID, Reason: o.Outcome.String(),
-		Detail: map[string]string{"belief": formatRisk(after), "before": formatRisk(before), "source": source}})
+		Detail: map[string]string{"belief": formatRisk(after), "before": formatRisk(before)}})
 }
 
 // Tick marks late attempts and expires the load reported by silent peers.
@@ -180,7 +181,7 @@
 	b.setLoads(now, from, r)
 	for _, o := range r.Observations {
 		s := b.servers[o.Server]
-		if s == nil || o.AgeMS < 0 {
+		if s == nil || o.AgeMS < 0 || o.AgeMS > maxObservationAge.Milliseconds() {
 			continue
 		}
 		if o.Outcome == OutcomeOK || o.Outcome == OutcomeFailed || o.Outcome == OutcomeTimeout {
@@ -190,6 +191,7 @@
 	}
 }
 
+// setLoads replaces the requests in flight that a VM reported.
 func (b *Balancer) setLoads(now fleet.Time, from fleet.VMID, r Report) {
 	p := b.peers[from]
 	if p == nil {
@@ -197,33 +199,33 @@
 		b.peers[from] = p
 	}
 	p.lastReport = now
-	loads := make(map[fleet.ServerID]int, len(r.Loads))
-	for _, l := range r.Loads {
-		if l.InFlight > 0 {
-			loads[l.Server] = l.InFlight
+	old := p.loads
+	p.loads = slices.DeleteFunc(r.Loads, func(l Load) bool { return l.InFlight <= 0 || l.InFlight > maxReportedLoad })
+	for _, l := range old {
+		if s := b.servers[l.Server]; s != nil {
+			s.remote -= l.InFlight
+			s.previousLoad = l.InFlight
 		}
 	}
-	for id, n := range p.loads {
-		if s := b.servers[id]; s != nil {
-			s.remote -= n
-		}
-	}
-	for id, n := range loads {
-		if s := b.servers[id]; s != nil {
-			s.remote += n
-			if n > p.loads[id] {
+	for _, l := range p.loads {
+		if s := b.servers[l.Server]; s != nil {
+			s.remote += l.InFlight
+			if l.InFlight > s.previousLoad {
 				s.lastUsed = now
 			}
 		}
 	}
-	p.loads = loads
+	for _, l := range old {
+		if s := b.servers[l.Server]; s != nil {
+			s.previousLoad = 0
+		}
+	}
 }
 
 func (b *Balancer) removePeer(id fleet.VMID) {
-	p := b.peers[id]
-	for sid, n := range p.loads {
-		if s := b.servers[sid]; s != nil {
-			s.remote -= n
+	for _, l := range b.peers[id].loads {
+		if s := b.servers[l.Server]; s != nil {
+			s.remote -= l.InFlight
 		}
 	}
 	delete(b.peers, id)
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -82,17 +82,34 @@
 	return r
 }
 
+// Urgent reports whether the report contains evidence against a server.
+func (r Report) Urgent() bool {
+	return slices.ContainsFunc(r.Observations, func(o Observation) bool { return o.Outcome != OutcomeOK })
+}
+
+// NextReport returns when the next report to either scope is due at the earliest.
+func (b *Balancer) NextReport() fleet.Time { return min(b.zone.next(), b.region.next()) }
+
+func (q *reportQueue) next() fleet.Time {
+	at := q.sent.Add(q.maxInterval)
+	if q.due != 0 {
+		at = min(at, q.due)
+	}
+	return at
+}
+
 // loads returns this VM's requests in flight by server: all of them for its own zone, those
 // at servers outside the zone for other zones.
 func (b *Balancer) loads(scope Scope) []Load {
 	var out []Load
-	for id, s := range b.servers {
-		if s.local > 0 && (scope == ScopeZone || s.distance == inRegion) {
-			out = append(out, Load{Server: id, InFlight: s.local})
+	for _, a := range b.attempts {
+		s := b.servers[a.server]
+		if s != nil && s.local > 0 && (scope == ScopeZone || s.distance == inRegion) {
+			out = append(out, Load{Server: a.server, InFlight: s.local})
 		}
 	}
 	slices.SortFunc(out, func(x, y Load) int { return cmp.Compare(x.Server, y.Server) })
-	return out
+	return slices.CompactFunc(out, func(x, y Load) bool { return x.Server == y.Server })
 }
 
 // Events returns and clears the events since the last call.
--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -9,6 +9,7 @@
 package follower
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,15 +25,22 @@
 	readInterval = 700 * time.Millisecond
 	// takeoverDelay is how long beyond readInterval a VM waits for the reader.
 	takeoverDelay = 300 * time.Millisecond
-	// rankDelay staggers the takeover timeouts of a region's VMs.
+	// rankDelay staggers the takeover timeouts of the VMs that are first to take over.
 	rankDelay = 40 * time.Millisecond
-	// maxRank bounds the staggering.
-	maxRank = 12
+	// fastRanks is the number of VMs with rankDelay between them. The others follow with
+	// laterRankDelay, so that not all VMs of a large region read when the first ones fail to.
+	fastRanks      = 12
+	laterRankDelay = 20 * time.Millisecond
 	// startupDelayStep and startupDelaySteps stagger the first reads of VMs that start
 	// together and have not discovered each other yet: most of them get a snapshot from a VM that
 	// read earlier.
 	startupDelayStep  = 20 * time.Millisecond
 	startupDelaySteps = 8
+	// seedHeadStart is how much later than the seeds other VMs read the store first, and
+	// peerHeadStart how much later still if they have a peer, which sends a snapshot once it
+	// has one.
+	seedHeadStart = 250 * time.Millisecond
+	peerHeadStart = time.Second
 	// retryDelayFirst is the delay after a failed read for the VMs that are first to take
 	// over, which includes a VM without peers.
 	retryDelayFirst = 700 * time.Millisecond
@@ -59,12 +67,18 @@
 	sweepInterval = 10 * time.Second
 )
 
+// maxUpdateChanges is the number of changes in one update or part, which must fit into a datagram.
+const maxUpdateChanges = 250
+
 // noPosition is the position of a VM that has not read the store.
 const noPosition = int64(-1)
 
 // Config holds the identity of the VM.
 type Config struct {
 	Self fleet.VMID
+	// WaitForSeeds delays the first read of the store. VMs that are no seeds wait for the
+	// snapshot of one, so that not every VM of a fleet that starts reads the store.
+	WaitForSeeds bool
 }
 
 // Follower is one VM's copy of the registry and the document, with the state of its
@@ -78,6 +92,7 @@
 	initialized  bool
 	reader       bool       // this VM reads the store for its region
 	rank         int        // position in the takeover order of the region's VMs
+	hasPeers     bool       // another VM of the region is live
 	startAt      fleet.Time // time of the first read
 	nextRead     fleet.Time // earliest time of the next read
 	readPending  bool
@@ -91,7 +106,8 @@
 	nextDocRead    fleet.Time
 
 	recent          []recentUpdate
-	snapshotSource  fleet.VMID // VM to request a snapshot from; empty for none
+	partial         partialUpdate // the last update that came in parts
+	snapshotSource  fleet.VMID    // VM to request a snapshot from; empty for none
 	nextSnapshot    fleet.Time
 	snapshotPending bool
 	lastSweep       fleet.Time
@@ -115,6 +131,8 @@
 	To       int64             `msgpack:"t"`
 	Document int64             `msgpack:"d"` // position of the reader's document
 	Changes  []registry.Change `msgpack:"c"`
+	Part     int               `msgpack:"n,omitempty"` // number of this part, from 0
+	Parts    int               `msgpack:"p,omitempty"` // number of parts; 0 if the update is not split
 }
 
 // Snapshot is a full copy of a VM's state, for a VM that starts or has missed changes.
@@ -128,14 +146,23 @@
 // New returns a follower without state.
 func New(c Config) *Follower {
 	step := xxhash.Sum64String(string(c.Self)) % startupDelaySteps
-	return &Follower{
-		cfg: c, table: registry.NewTable(), position: noPosition, docPosition: noPosition,
-		startAt: fleet.Time(0).Add(time.Duration(step) * startupDelayStep),
+	startAt := fleet.Time(0).Add(time.Duration(step) * startupDelayStep)
+	if c.WaitForSeeds {
+		startAt = startAt.Add(seedHeadStart)
 	}
+	return &Follower{cfg: c, table: registry.NewTable(), position: noPosition, docPosition: noPosition, startAt: startAt}
 }
 
 // SetRank sets the VM's position in the takeover order; 0 is the first.
-func (f *Follower) SetRank(rank int) { f.rank = min(rank, maxRank) }
+func (f *Follower) SetRank(rank int) { f.rank = rank }
+
+// takeoverStagger returns how much later than the first VM this VM takes over.
+func (f *Follower) takeoverStagger() time.Duration {
+	return time.Duration(min(f.rank, fastRanks))*rankDelay + time.Duration(max(0, f.rank-fastRanks))*laterRankDelay
+}
+
+// SetHasPeers sets whether another VM of the region is live.
+func (f *Follower) SetHasPeers(has bool) { f.hasPeers = has }
 
 // Tick applies delayed removals that are due and drops old tombstones.
 func (f *Follower) Tick(now fleet.Time) {
@@ -153,10 +180,13 @@
 func (f *Follower) readDueAt() fleet.Time {
 	at := f.lastUpdate.Add(readInterval)
 	if !f.reader {
-		at = at.Add(takeoverDelay + time.Duration(f.rank)*rankDelay)
+		at = at.Add(takeoverDelay + f.takeoverStagger())
 	}
 	if !f.initialized {
-		at = f.startAt.Add(time.Duration(f.rank) * rankDelay)
+		at = f.startAt.Add(f.takeoverStagger())
+		if f.cfg.WaitForSeeds && f.hasPeers {
+			at = at.Add(peerHeadStart)
+		}
 	}
 	return max(at, f.nextRead)
 }
@@ -213,7 +243,7 @@
 	if f.rank >= fastRetryRanks {
 		delay = retryDelayOthers
 	}
-	return delay + time.Duration(f.rank)*rankDelay
+	return delay + f.takeoverStagger()
 }
 
 // readSucceeded records a successful read and returns how long removals are delayed.
@@ -250,13 +280,57 @@
 	f.recent = append(kept, recentUpdate{now, before, changes})
 }
 
+// queueUpdate queues an update with the recent changes, of each server only the newest one.
 func (f *Follower) queueUpdate() {
 	u := Update{From: f.position, To: f.position, Document: f.docPosition}
-	for _, r := range f.recent {
+	seen := make(map[fleet.ServerID]bool)
+	for _, r := range slices.Backward(f.recent) {
 		u.From = min(u.From, r.from)
-		u.Changes = append(u.Changes, r.changes...)
+		for _, c := range slices.Backward(r.changes) {
+			if !seen[c.ID] {
+				seen[c.ID] = true
+				u.Changes = append(u.Changes, c)
+			}
+		}
 	}
-	f.updates = append(f.updates, u)
+	slices.Reverse(u.Changes)
+	f.updates = append(f.updates, u.split()...)
+}
+
+// split splits an update into parts that fit into a datagram.
+func (u Update) split() []Update {
+	if len(u.Changes) <= maxUpdateChanges {
+		return []Update{u}
+	}
+	var parts []Update
+	for chunk := range slices.Chunk(u.Changes, maxUpdateChanges) {
+		part := u
+		part.Changes, part.Part = chunk, len(parts)
+		parts = append(parts, part)
+	}
+	for i := range parts {
+		parts[i].Parts = len(parts)
+	}
+	return parts
+}
+
+// partialUpdate is an update of which some parts were received.
+type partialUpdate struct {
+	from, to int64
+	received map[int]bool
+}
+
+// isComplete records a part and reports whether all parts of its update were received.
+func (f *Follower) isComplete(u Update) bool {
+	if u.Parts <= 1 {
+		return true
+	}
+	p := &f.partial
+	if p.from != u.From || p.to != u.To || p.received == nil {
+		*p = partialUpdate{u.From, u.To, make(map[int]bool)}
+	}
+	p.received[u.Part] = true
+	return len(p.received) == u.Parts
 }
 
 // ApplyUpdate applies an update of another VM of the region. Rank is the sender's position
@@ -276,7 +350,9 @@
 	case f.position >= u.From && f.initialized:
 		before := f.position
 		applied := f.table.Apply(now, u.Changes, 0)
-		f.position = u.To
+		if f.isComplete(u) {
+			f.position = u.To
+		}
 		f.changes = append(f.changes, applied...)
 		f.addRecent(now, before, applied)
 	default:
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,7 +38,7 @@
 	connsPerServer   = 64
 	maxUnsentRetries = 3
 	readyTimeout     = time.Second
-	tickInterval     = 10 * time.Millisecond
+	tickInterval     = 50 * time.Millisecond // between two steps without a message or a report that is due
 )
 
 // Config holds the parameters of a Gateway. Settings, Source and Dialect are required.
@@ -84,6 +85,12 @@
 	pendingDigest  *balance.Digest // received from a VM of the zone before the servers are known
 	digestSchedule balance.DigestSchedule
 	coveredAt      fleet.Time
+	zoneQueue      mesh.RelayQueue // reports for the VMs of this zone
+	regionQueue    mesh.RelayQueue // reports of this zone's VMs for the region's other zones
+	lastQuery      fleet.Time      // last Hello because of a report of an unknown VM
+	lastTick       fleet.Time
+	nextStep       fleet.Time // when stepTimer fires
+	stepTimer      *time.Timer
 }
 
 type listener struct {
@@ -96,15 +103,16 @@
 	s := cfg.Settings
 	g := &Gateway{
 		cfg: cfg, log: cfg.Logger, origin: time.Now(), readyCh: make(chan struct{}),
-		self: mesh.Member{ID: fleet.VMID(s.VM.ID), Addr: s.Listen.Links, Region: fleet.Region(s.VM.Region), Zone: fleet.Zone(s.VM.Zone)},
+		self: mesh.Member{ID: fleet.VMID(s.VM.ID), Addr: s.Listen.Links, Region: fleet.Region(s.VM.Region), Zone: fleet.Zone(s.VM.Zone), Cores: s.Cores},
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	prices, budget := pricesAndBudget(s)
 	g.balance = balance.New(balance.Config{
 		Self: g.self.ID, Region: g.self.Region, Zone: g.self.Zone, Seed: cfg.Seed, Prices: prices, Budget: budget,
 	})
-	g.follower = follower.New(follower.Config{Self: g.self.ID})
-	g.members = mesh.NewMembers(g.self, seedAddresses(s))
+	seeds := seedAddresses(s)
+	g.follower = follower.New(follower.Config{Self: g.self.ID, WaitForSeeds: len(seeds) > 0 && !slices.Contains(seeds, g.self.Addr)})
+	g.members = mesh.NewMembers(g.self, seeds)
 	if err := g.bind(); err != nil {
 		g.Close()
 		return nil, err
@@ -201,7 +209,7 @@
 	if g.metrics.server != nil {
 		go func() { failed <- g.metrics.server.Serve(g.metrics.Listener) }()
 	}
-	go g.tickLoop()
+	g.startTimer()
 	g.log.Info("started", "vm", g.self.ID, "seeds", seedAddresses(g.cfg.Settings), "zone", g.self.Zone, "callers", g.callers.Addr().String(), "links", g.mesh.Addr())
 	select {
 	case err := <-failed:
@@ -211,21 +219,28 @@
 	return g.shutdown()
 }
 
-func (g *Gateway) tickLoop() {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		g.update(func(now fleet.Time) {
-			g.balance.Tick(now)
-			g.follower.Tick(now)
-			g.syncMembers(now)
-		})
-		select {
-		case <-g.ctx.Done():
-			return
-		case <-ticker.C:
-		}
+// startTimer starts the steps that no message or request triggers.
+func (g *Gateway) startTimer() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stepTimer = time.AfterFunc(0, g.timedStep)
+}
+
+// timedStep runs a step when the timer fires.
+func (g *Gateway) timedStep() {
+	if g.ctx.Err() != nil {
+		return
 	}
+	g.update(func(now fleet.Time) {
+		g.nextStep = 0
+		if now.Sub(g.lastTick) < tickInterval && g.lastTick != 0 {
+			return // only messages are due
+		}
+		g.lastTick = max(now, 1)
+		g.balance.Tick(now)
+		g.follower.Tick(now)
+		g.syncMembers(now)
+	})
 }
 
 // update runs a step of the deterministic state and applies its results.
@@ -235,6 +250,24 @@
 	now := g.Now()
 	step(now)
 	g.applyChanges(now)
+	g.scheduleStep(now)
+}
+
+// scheduleStep sets the timer to the next tick or message, unless it fires earlier.
+func (g *Gateway) scheduleStep(now fleet.Time) {
+	if g.stepTimer == nil {
+		return
+	}
+	next := min(g.lastTick.Add(tickInterval), g.balance.NextReport())
+	for _, q := range []*mesh.RelayQueue{&g.zoneQueue, &g.regionQueue} {
+		if due := q.Due(); due != 0 {
+			next = min(next, due)
+		}
+	}
+	if g.nextStep == 0 || next < g.nextStep {
+		g.nextStep = max(next, now, 1)
+		g.stepTimer.Reset(g.nextStep.Sub(now))
+	}
 }
 
 // Close stops the VM immediately.
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -20,13 +20,6 @@
 // startupWindow is how long after its start a VM requests the health estimates of its zone's servers.
 const startupWindow = 3 * time.Second
 
-// Number of VMs in each other zone of the region that receive a message to relay it. A lost update makes
-// a VM read from the store.
-const (
-	reportRelays = 1
-	updateRelays = 2
-)
-
 // coverageInterval is the interval at which the zones without a VM are determined.
 const coverageInterval = 250 * time.Millisecond
 
@@ -59,32 +52,6 @@
 	return n
 }
 
-// sendReports sends the reports and updates that are due.
-func (g *Gateway) sendReports(now fleet.Time) {
-	zoneReport, regionReport := g.balance.Reports(now)
-	updates := g.follower.Updates()
-	if zoneReport == nil && regionReport == nil && len(updates) == 0 {
-		return
-	}
-	zone, _ := g.members.Peers(now)
-	if zoneReport != nil {
-		g.mesh.Send(&mesh.Report{From: g.self.ID, Report: *zoneReport}, zone...)
-	}
-	if regionReport != nil {
-		g.mesh.Send(&mesh.Report{From: g.self.ID, Relay: true, Report: *regionReport}, g.members.Relays(now, reportRelays)...)
-	}
-	for _, u := range updates {
-		g.mesh.Send(&mesh.RegistryUpdate{From: g.self.ID, Update: u}, zone...)
-		g.mesh.Send(&mesh.RegistryUpdate{From: g.self.ID, Relay: true, Update: u}, g.members.Relays(now, updateRelays)...)
-	}
-}
-
-// relay forwards a message from another zone to the VMs of this zone.
-func (g *Gateway) relay(now fleet.Time, m fleet.Message) {
-	zone, _ := g.members.Peers(now)
-	g.mesh.Send(m, zone...)
-}
-
 // startFetches starts the calls to the store and to other VMs that are due.
 func (g *Gateway) startFetches(now fleet.Time) {
 	if g.draining.Load() {
@@ -198,8 +165,9 @@
 
 // syncMembers sends the Hello messages that are due and updates the state derived from the members.
 func (g *Gateway) syncMembers(now fleet.Time) {
+	g.members.SetNeedsState(!g.follower.Ready())
 	if targets := g.members.HelloTargets(now); len(targets) > 0 && !g.draining.Load() {
-		g.mesh.Send(&mesh.Hello{Self: g.self, NeedsState: time.Duration(now) < startupWindow, KnownHash: g.members.KnownHash(now)}, targets...)
+		g.sendHello(now, time.Duration(now) < startupWindow, targets...)
 	}
 	g.sendDigests(now)
 	if now.Sub(g.coveredAt) >= coverageInterval {
@@ -207,6 +175,7 @@
 		g.updateCoveredZones(now)
 	}
 	g.follower.SetRank(g.members.Rank(now, g.self.ID))
+	g.follower.SetHasPeers(g.members.LivePeers(now) > 0)
 	g.balance.SetVMs(g.members.FleetSize())
 }
 
@@ -215,7 +184,7 @@
 	g.update(func(now fleet.Time) {
 		switch m := m.(type) {
 		case *mesh.Hello:
-			g.members.Add(now, m.Self, true)
+			g.members.Add(now, m.Self)
 			list := g.members.ListUnknownTo(now, m.Self, m.KnownHash)
 			w := &mesh.Welcome{Self: g.self, Members: list, FleetSize: g.members.FleetSize(), Ready: g.follower.Ready()}
 			if m.NeedsState && m.Self.Zone == g.self.Zone {
@@ -226,12 +195,9 @@
 		case *mesh.Welcome:
 			g.handleWelcome(now, m)
 		case *mesh.Report:
-			if g.recordSender(now, m.From, from) {
-				g.balance.ApplyReport(now, m.From, m.Report)
-			}
-			if m.Relay {
-				g.relay(now, &mesh.Report{From: m.From, Report: m.Report})
-			}
+			g.handleReport(now, from, m)
+		case *mesh.Batch:
+			g.handleBatch(now, from, m)
 		case *mesh.Digest:
 			g.members.RecordHeard(now, m.From)
 			g.balance.ApplyDigest(now, m.Digest)
@@ -255,15 +221,19 @@
 	if g.members.RecordHeard(now, id) {
 		return true
 	}
-	g.mesh.Send(&mesh.Hello{Self: g.self, KnownHash: g.members.KnownHash(now)}, from.String())
+	g.sendHello(now, false, from.String())
 	return false
 }
 
+func (g *Gateway) sendHello(now fleet.Time, needsState bool, targets ...string) {
+	g.mesh.Send(&mesh.Hello{Self: g.self, NeedsState: needsState, KnownHash: g.members.KnownHash(now)}, targets...)
+}
+
 func (g *Gateway) handleWelcome(now fleet.Time, m *mesh.Welcome) {
 	for _, other := range m.Members {
-		g.members.Add(now, other, false)
+		g.members.AddListed(now, other)
 	}
-	g.members.Add(now, m.Self, true)
+	g.members.Add(now, m.Self)
 	g.members.RecordFleetSize(m.FleetSize)
 	if m.Digest != nil {
 		g.pendingDigest = m.Digest
@@ -285,10 +255,26 @@
 	for _, e := range g.follower.Events() {
 		g.RecordEvent(e)
 	}
-	for _, e := range g.members.Events(now) {
-		g.RecordEvent(e)
-	}
+	g.logMemberEvents(g.members.Events(now))
 	for _, e := range g.balance.Events() {
 		g.RecordEvent(e)
 	}
 }
+
+// maxMemberLines bounds the lines for members that are found or lost in one step. Of more, only the
+// numbers are logged.
+const maxMemberLines = 4
+
+func (g *Gateway) logMemberEvents(events []fleet.Event) {
+	if len(events) <= maxMemberLines {
+		for _, e := range events {
+			g.RecordEvent(e)
+		}
+		return
+	}
+	counts := make(map[string]int)
+	for _, e := range events {
+		counts[string(e.Kind)]++
+	}
+	g.log.Info("members_changed", "changes", counts, "first", events[0].Reason)
+}
--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -24,13 +24,14 @@
 	startupPeriod         = 5 * time.Second        // time after the start in which startupGossipInterval applies
 	silenceTimeout        = 2500 * time.Millisecond
 	memberRetention       = 60 * time.Second
-	listingPeriod         = 10 * time.Second // members heard from within this time are listed in a Welcome
-	delegatePeriod        = 15 * time.Second // a VM heard from within this time can be the delegate of its zone
-	isolationTimeout      = time.Second      // a VM without live peers reads addresses from the store after this time
+	listingPeriod         = 10 * time.Second       // members heard from within this time are listed in a Welcome
+	delegatePeriod        = 15 * time.Second       // a VM heard from within this time can be the delegate of its zone
+	isolationTimeout      = time.Second            // a VM without live peers reads addresses from the store after this time
+	silentHelloSpacing    = 100 * time.Millisecond // between two Hellos to any silent members
 )
 
 // maxListedMembers bounds the members in one Welcome, which must fit into a datagram.
-const maxListedMembers = 48
+const maxListedMembers = 96
 
 // Member identifies a VM to other VMs.
 type Member struct {
@@ -38,6 +39,32 @@
 	Addr   string       `msgpack:"a"`
 	Region fleet.Region `msgpack:"r"`
 	Zone   fleet.Zone   `msgpack:"z"`
+	Cores  float64      `msgpack:"c,omitempty"` // processor share; 0 if unknown
+}
+
+// ListedMember is a member in a Welcome.
+type ListedMember struct {
+	Member
+	SilentMS int64 `msgpack:"s"` // milliseconds since the lister heard from the VM
+}
+
+// precedes reports whether a VM ranks before another one. VMs with more processor rank first,
+// because the first VM of a zone relays for the others.
+func (v Member) precedes(other Member) bool {
+	if v.Cores != other.Cores {
+		return v.Cores > other.Cores
+	}
+	return v.ID < other.ID
+}
+
+func compareRank(a, b Member) int {
+	switch {
+	case a.precedes(b):
+		return -1
+	case b.precedes(a):
+		return 1
+	}
+	return 0
 }
 
 // member is the state of another VM.
@@ -46,24 +73,30 @@
 	added        fleet.Time
 	lastHeard    fleet.Time // 0: never
 	lastHello    fleet.Time
-	lossReported bool // an event for its silence was emitted
+	lossReported bool       // an event for its silence was emitted
+	relaySuspect fleet.Time // not used as a relay until then
 }
 
 // Members is the table of VMs that are known to one VM. It is deterministic: it uses no
 // clock, socket or goroutine.
 type Members struct {
-	self          Member
-	seeds         []string
-	members       map[fleet.VMID]*member
-	lastSeedHello fleet.Time         // of all seeds
-	lastGossip    fleet.Time         // to a live member
-	relayIndex    int                // round-robin position in the VMs that relay to other zones
-	gossipIndex   int                // round-robin position in the live members to send a Hello to
-	fleetSize     int                // largest number of VMs known so far to this VM or a peer
-	zoneSizes     map[fleet.Zone]int // numbers of VMs of other zones, from their digests
-	events        []fleet.Event
-	hasStarted    bool
-	startTime     fleet.Time // time of the first call of HelloTargets
+	self            Member
+	seeds           []string
+	members         map[fleet.VMID]*member
+	live            *liveMembers
+	lastSeedHello   fleet.Time         // of all seeds
+	lastSilentHello fleet.Time         // to a silent member
+	lastGossip      fleet.Time         // to a live member
+	relayIndex      int                // round-robin position in the VMs that relay to other zones
+	gossipIndex     int                // round-robin position in the live members to send a Hello to
+	listIndex       int                // round-robin position in the region's members to list
+	fleetSize       int                // largest number of VMs known so far to this VM or a peer
+	zoneSizes       map[fleet.Zone]int // numbers of VMs of other zones, from their digests
+	relay           relayState
+	events          []fleet.Event
+	needsState      bool // this VM has no complete state yet and looks for a VM that has
+	hasStarted      bool
+	startTime       fleet.Time // time of the first call of HelloTargets
 }
 
 // NewMembers returns a table without members, whose first Hellos go to the seed addresses.
@@ -90,16 +123,9 @@
 			}
 		}
 	}
-	unreached := m.unreachedRemotes(now)
-	for id, vm := range m.members {
-		if now.Sub(max(vm.lastHeard, vm.added)) > memberRetention {
-			delete(m.members, id)
-			continue
-		}
-		if (vm.Region == m.self.Region && !vm.isLive(now) || leadsZone && unreached[vm]) && (vm.lastHello == 0 || now.Sub(vm.lastHello) >= silentMemberInterval) {
-			vm.lastHello = max(now, 1)
-			out = append(out, vm.Addr)
-		}
+	if vm := m.silentTarget(now, leadsZone); vm != nil {
+		m.lastSilentHello, vm.lastHello = max(now, 1), max(now, 1)
+		out = append(out, vm.Addr)
 	}
 	if a := m.gossipTarget(now); a != "" {
 		out = append(out, a)
@@ -108,6 +134,33 @@
 	return slices.Compact(out)
 }
 
+// silentTarget removes members that were silent for memberRetention and returns the next silent
+// member to send a Hello to, or nil if none is due. Silent VMs of the region get one each
+// silentMemberInterval, at most one per silentHelloSpacing, so that the loss of many VMs causes
+// no burst of Hellos.
+func (m *Members) silentTarget(now fleet.Time, leadsZone bool) *member {
+	unreached := make(map[*member]bool)
+	if leadsZone {
+		unreached = m.unreachedRemotes(now)
+	}
+	var next *member
+	for id, vm := range m.members {
+		switch {
+		case now.Sub(max(vm.lastHeard, vm.added)) > memberRetention:
+			delete(m.members, id)
+			m.live = nil
+		case !(vm.Region == m.self.Region && !vm.isLive(now) || unreached[vm]):
+		case vm.lastHello != 0 && now.Sub(vm.lastHello) < silentMemberInterval:
+		case next == nil || vm.lastHello < next.lastHello || vm.lastHello == next.lastHello && vm.precedes(next.Member):
+			next = vm
+		}
+	}
+	if m.lastSilentHello != 0 && now.Sub(m.lastSilentHello) < silentHelloSpacing {
+		return nil
+	}
+	return next
+}
+
 // unreachedRemotes returns the VMs of those zones of other regions in which no VM was
 // heard from recently. The first VM of each zone sends a Hello to them, since it sends the
 // zone's digests.
@@ -122,18 +175,26 @@
 	return out
 }
 
+// SetNeedsState sets whether this VM looks for a VM with a complete state. In the startupPeriod it then
+// greets live members more often.
+func (m *Members) SetNeedsState(needs bool) { m.needsState = needs }
+
 // gossipTarget returns the address of the next live member to send a Hello to, or "" if none
 // is due. VMs that started at the same time discover each other in this way.
 func (m *Members) gossipTarget(now fleet.Time) string {
 	interval := gossipInterval
-	if now.Sub(m.startTime) < startupPeriod {
+	switch {
+	case now.Sub(m.startTime) >= startupPeriod:
+	case m.needsState:
+		interval = joinInterval
+	default:
 		interval = startupGossipInterval
 	}
 	if now.Sub(m.lastGossip) < interval {
 		return ""
 	}
 	zone, region := m.Peers(now)
-	peers := append(zone, region...)
+	peers := slices.Concat(zone, region)
 	if len(peers) == 0 {
 		return ""
 	}
@@ -169,29 +230,54 @@
 	if vm == nil {
 		return false
 	}
-	if !vm.isLive(now) {
-		m.event("peer_found", id)
-	}
-	vm.lastHeard, vm.lossReported = max(now, 1), false
+	m.heard(now, now, vm)
 	return true
 }
 
-// Add adds a VM; direct means that the information came from the VM itself.
-func (m *Members) Add(now fleet.Time, info Member, direct bool) {
+// heard records that a VM was heard from at a time up to now.
+func (m *Members) heard(now, at fleet.Time, vm *member) {
+	wasLive := vm.isLive(now)
+	vm.lastHeard = max(vm.lastHeard, at, 1)
+	if !wasLive && vm.isLive(now) {
+		m.event("peer_found", vm.ID)
+		vm.lossReported, m.live = false, nil
+	}
+}
+
+// Add adds a VM that sent a message to this VM.
+func (m *Members) Add(now fleet.Time, info Member) {
+	if vm := m.add(now, info, true); vm != nil {
+		m.heard(now, now, vm)
+		vm.relaySuspect = 0
+	}
+}
+
+// AddListed adds a VM that another VM listed. It counts as heard from when the lister heard from it.
+func (m *Members) AddListed(now fleet.Time, info ListedMember) {
+	vm := m.add(now, info.Member, false)
+	if age := time.Duration(info.SilentMS) * time.Millisecond; vm != nil && info.SilentMS >= 0 && info.SilentMS < listingPeriod.Milliseconds() && now.Sub(0) > age {
+		m.heard(now, now.Add(-age), vm)
+	}
+}
+
+// add returns the member with the ID of info, or nil for this VM or incomplete information. The
+// information of a known member is only replaced by its own.
+func (m *Members) add(now fleet.Time, info Member, direct bool) *member {
 	if info.ID == m.self.ID || info.ID == "" || info.Addr == "" {
-		return
+		return nil
+	}
+	if !(info.Cores >= 0) {
+		info.Cores = 0
 	}
 	vm := m.members[info.ID]
 	if vm == nil {
 		vm = &member{added: now}
 		m.members[info.ID] = vm
 	}
-	if direct || vm.Addr == "" {
-		vm.Member = info
-	}
-	if direct {
-		m.RecordHeard(now, info.ID)
+	if (direct || vm.Addr == "") && vm.Member != info {
+		vm.Member, m.live = info, nil
 	}
+	return vm
 }
 
 // KnownHash returns a hash of the VMs of this region heard from recently, this one included; 0 if
@@ -213,34 +299,56 @@
 // ListUnknownTo returns the members to list in a Welcome to v. Known is the KnownHash of v: none
 // are listed if it equals this VM's, or if v is in another region and has heard from VMs
 // there, which list the rest.
-func (m *Members) ListUnknownTo(now fleet.Time, v Member, known uint64) []Member {
+func (m *Members) ListUnknownTo(now fleet.Time, v Member, known uint64) []ListedMember {
 	if known != 0 && (v.Region != m.self.Region || known == m.KnownHash(now)) {
 		return nil
 	}
-	return m.List(now, v.Region)
+	return m.List(now, v)
 }
 
 func (vm *member) recentlyHeard(now fleet.Time) bool {
 	return vm.lastHeard != 0 && now.Sub(vm.lastHeard) <= listingPeriod
 }
 
-// List returns the VMs of a region heard from recently, and one VM of each zone of the
-// other regions.
-func (m *Members) List(now fleet.Time, region fleet.Region) []Member {
-	list := []Member{m.self}
+// List returns the VMs to list to v: VMs of its region heard from recently, first those of its
+// zone, and one VM of each zone of the other regions. Of a region with more VMs than fit into
+// one Welcome, each call lists other ones.
+func (m *Members) List(now fleet.Time, v Member) []ListedMember {
+	list := []ListedMember{{Member: m.self}}
+	var zone, region []*member
 	for _, vm := range m.members {
-		if vm.Region == region && vm.recentlyHeard(now) && len(list) < maxListedMembers {
-			list = append(list, vm.Member)
+		switch {
+		case vm.Region != v.Region || !vm.recentlyHeard(now) || vm.ID == v.ID:
+		case vm.Zone == v.Zone:
+			zone = append(zone, vm)
+		default:
+			region = append(region, vm)
+		}
+	}
+	for _, group := range [][]*member{zone, region} {
+		slices.SortFunc(group, func(a, b *member) int { return compareRank(a.Member, b.Member) })
+		n := min(len(group), maxListedMembers-len(list))
+		start := 0
+		if n < len(group) {
+			start = m.listIndex
+			m.listIndex += n
+		}
+		for i := range n {
+			list = append(list, group[(start+i)%len(group)].listed(now))
 		}
 	}
 	// One VM of each zone of the other regions, so that digests can be sent there.
-	for _, vm := range m.latestByZone(now, func(vm *member) bool { return vm.Region != region }) {
-		list = append(list, vm.Member)
+	for _, vm := range m.latestByZone(now, func(vm *member) bool { return vm.Region != v.Region }) {
+		list = append(list, vm.listed(now))
 	}
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b ListedMember) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
+func (vm *member) listed(now fleet.Time) ListedMember {
+	return ListedMember{vm.Member, now.Sub(vm.lastHeard).Milliseconds()}
+}
+
 // Delegates returns the address of one VM of each other zone, the one heard from last, for the
 // zones of this region and of the other regions.
 func (m *Members) Delegates(now fleet.Time) (region, otherRegions []string) {
@@ -273,8 +381,8 @@
 // ZoneRank returns the rank of this VM among the live VMs of its zone.
 func (m *Members) ZoneRank(now fleet.Time) int {
 	rank := 0
-	for id, vm := range m.members {
-		if id < m.self.ID && vm.Zone == m.self.Zone && vm.isLive(now) {
+	for _, vm := range m.liveMembers(now).zone {
+		if vm.precedes(m.self) {
 			rank++
 		}
 	}
@@ -284,10 +392,8 @@
 // LiveZones returns the zones of this region with a live VM, this VM's zone included.
 func (m *Members) LiveZones(now fleet.Time) map[fleet.Zone]bool {
 	out := map[fleet.Zone]bool{m.self.Zone: true}
-	for _, vm := range m.members {
-		if vm.Region == m.self.Region && vm.isLive(now) {
-			out[vm.Zone] = true
-		}
+	for _, vm := range m.liveMembers(now).region {
+		out[vm.Zone] = true
 	}
 	return out
 }
@@ -332,60 +438,35 @@
 
 // LivePeers returns the number of other live VMs of the region.
 func (m *Members) LivePeers(now fleet.Time) int {
-	n := 0
-	for _, vm := range m.members {
-		if vm.Region == m.self.Region && vm.isLive(now) {
-			n++
-		}
-	}
-	return n
+	live := m.liveMembers(now)
+	return len(live.zone) + len(live.region)
 }
 
 // Peers returns the addresses of the live VMs of this VM's zone and of the region's other
-// zones.
+// zones, in the order of their ranks. The caller must not change them.
 func (m *Members) Peers(now fleet.Time) (zone, region []string) {
-	for _, vm := range m.members {
-		switch {
-		case !vm.isLive(now) || vm.Region != m.self.Region:
-		case vm.Zone == m.self.Zone:
-			zone = append(zone, vm.Addr)
-		default:
-			region = append(region, vm.Addr)
-		}
-	}
-	return zone, region
-}
-
-// Relays returns the addresses of n live VMs of each other zone of the region. They rotate
-// with each call, so that few messages are lost at a VM whose failure is not yet detected.
-func (m *Members) Relays(now fleet.Time, n int) []string {
-	zones := make(map[fleet.Zone][]string)
-	for _, vm := range m.members {
-		if vm.Region == m.self.Region && vm.Zone != m.self.Zone && vm.isLive(now) {
-			zones[vm.Zone] = append(zones[vm.Zone], vm.Addr)
-		}
-	}
-	var out []string
-	for _, list := range zones {
-		slices.Sort(list)
-		for i := range min(n, len(list)) {
-			out = append(out, list[(m.relayIndex+i)%len(list)])
-		}
-	}
-	m.relayIndex += n
-	slices.Sort(out)
-	return out
+	live := m.liveMembers(now)
+	return live.zoneAddrs, live.regionAddrs
 }
 
 // Rank returns the rank of a VM among the live VMs of the region.
 func (m *Members) Rank(now fleet.Time, id fleet.VMID) int {
+	v := Member{ID: id}
+	if id == m.self.ID {
+		v = m.self
+	} else if vm := m.members[id]; vm != nil {
+		v = vm.Member
+	}
 	rank := 0
-	if m.self.ID < id {
+	if m.self.precedes(v) {
 		rank++
 	}
-	for other, vm := range m.members {
-		if other < id && vm.Region == m.self.Region && vm.isLive(now) {
-			rank++
+	live := m.liveMembers(now)
+	for _, group := range [][]*member{live.zone, live.region} {
+		for _, vm := range group {
+			if vm.precedes(v) {
+				rank++
+			}
 		}
 	}
 	return rank
@@ -402,12 +483,7 @@
 
 // Events returns and clears the events since the last call.
 func (m *Members) Events(now fleet.Time) []fleet.Event {
-	for id, vm := range m.members {
-		if vm.lastHeard != 0 && !vm.lossReported && !vm.isLive(now) && vm.Region == m.self.Region {
-			vm.lossReported = true
-			m.event("peer_lost", id)
-		}
-	}
+	m.liveMembers(now)
 	out := m.events
 	m.events = nil
 	return out
--- a/pkg/mesh/messages.go
+++ b/pkg/mesh/messages.go
@@ -16,6 +16,8 @@
 	kindSnapshotRequest fleet.Kind = 605
 	kindSnapshotReply   fleet.Kind = 606
 	kindDigest          fleet.Kind = 607
+	kindBatch           fleet.Kind = 608
+	kindCompressed      fleet.Kind = 609
 )
 
 // Hello announces its sender to a VM and requests a Welcome.
@@ -28,7 +30,7 @@
 // Welcome replies to a Hello with VMs that are unknown to the sender of the Hello.
 type Welcome struct {
 	Self      Member          `msgpack:"s"`
-	Members   []Member        `msgpack:"m"`
+	Members   []ListedMember  `msgpack:"m"`
 	FleetSize int             `msgpack:"f"` // number of VMs of the fleet known to the sender
 	Ready     bool            `msgpack:"r"` // the sender can provide a snapshot of the state
 	Digest    *balance.Digest `msgpack:"d"` // of the sender's zone
@@ -44,11 +46,21 @@
 }
 
 // Report carries a balancer's report. A VM that receives one with Relay set sends it to the
-// other VMs of its zone, so that it crosses zones only once.
+// other VMs of its zone, so that it crosses zones only once. One with Forward set is for the
+// region's other zones.
 type Report struct {
-	From   fleet.VMID     `msgpack:"f"`
-	Relay  bool           `msgpack:"y,omitempty"`
-	Report balance.Report `msgpack:"r"`
+	From    fleet.VMID     `msgpack:"f"`
+	Relay   bool           `msgpack:"y,omitempty"`
+	Forward bool           `msgpack:"w,omitempty"`
+	Report  balance.Report `msgpack:"r"`
+}
+
+// Batch carries the reports of several VMs of a zone. One with Relay set comes from another zone and is
+// relayed like a Report.
+type Batch struct {
+	From    fleet.VMID      `msgpack:"f"` // the relay
+	Relay   bool            `msgpack:"y,omitempty"`
+	Reports []RelayedReport `msgpack:"r"`
 }
 
 // RegistryUpdate carries an update of the region's reader. It is relayed like a Report.
@@ -58,14 +70,19 @@
 	Update follower.Update `msgpack:"b"`
 }
 
+// Compressed carries the frame of a large message, compressed with DEFLATE.
+type Compressed struct {
+	Frame []byte `msgpack:"z"`
+}
+
 // SnapshotRequest requests a snapshot of the state.
 type SnapshotRequest struct {
 	From fleet.VMID `msgpack:"f"`
 }
 
-// SnapshotReply replies to a SnapshotRequest. Its Snapshot is nil if the VM's state is not complete.
+// SnapshotReply replies to a SnapshotRequest. It is empty if the VM's state is not complete.
 type SnapshotReply struct {
-	Snapshot *follower.Snapshot `msgpack:"c"`
+	Compressed []byte `msgpack:"z"` // a follower.Snapshot in msgpack, compressed with DEFLATE
 }
 
 // Kind implements fleet.Message.
@@ -76,6 +93,8 @@
 func (*SnapshotRequest) Kind() fleet.Kind { return kindSnapshotRequest }
 func (*SnapshotReply) Kind() fleet.Kind   { return kindSnapshotReply }
 func (*Digest) Kind() fleet.Kind          { return kindDigest }
+func (*Batch) Kind() fleet.Kind           { return kindBatch }
+func (*Compressed) Kind() fleet.Kind      { return kindCompressed }
 
 func init() {
 	wire.Register(func() fleet.Message { return new(Hello) })
@@ -85,4 +104,6 @@
 	wire.Register(func() fleet.Message { return new(SnapshotRequest) })
 	wire.Register(func() fleet.Message { return new(SnapshotReply) })
 	wire.Register(func() fleet.Message { return new(Digest) })
+	wire.Register(func() fleet.Message { return new(Batch) })
+	wire.Register(func() fleet.Message { return new(Compressed) })
 }
--- a/pkg/mesh/transport.go
+++ b/pkg/mesh/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -17,9 +18,9 @@
 
 // Limits of the transport.
 const (
-	maxDatagram      = 60 << 10
-	snapshotTimeout  = time.Second // for fetching a snapshot, and for serving one
-	maxSnapshotConns = 16          // snapshots served concurrently
+	snapshotTimeout  = time.Second            // for fetching a snapshot, and for serving one
+	maxSnapshotConns = 64                     // snapshots served concurrently
+	snapshotCacheTTL = 100 * time.Millisecond // in which requests get the same encoded snapshot
 )
 
 // Handler handles received messages.
@@ -37,6 +38,10 @@
 	handler       Handler
 	log           logr.Logger
 	snapshotSlots chan struct{}
+
+	cacheMu  sync.Mutex
+	cached   []byte // encoded SnapshotReply
+	cachedAt time.Time
 }
 
 // Listen binds the address for datagrams (UDP) and snapshots (TCP).
@@ -72,7 +77,7 @@
 			}
 			continue // ICMP error caused by an earlier datagram
 		}
-		m, err := wire.Decode(buf[:n])
+		m, err := decodeDatagram(buf[:n])
 		if err != nil {
 			t.log.V(1).Info("datagram cannot be decoded", "from", from.String(), "error", err.Error())
 			continue
@@ -87,9 +92,9 @@
 	if len(addresses) == 0 {
 		return
 	}
-	frame, err := wire.Encode(m)
-	if err != nil || len(frame) > maxDatagram {
-		t.log.Info("message exceeds the maximum datagram size", "kind", m.Kind(), "bytes", len(frame))
+	frame, err := encodeDatagram(m)
+	if err != nil {
+		t.log.Info("message cannot be sent", "kind", m.Kind(), "error", err.Error())
 		return
 	}
 	for _, a := range addresses {
@@ -134,7 +139,7 @@
 	if _, ok := m.(*SnapshotRequest); !ok {
 		return
 	}
-	frame, err := wire.Encode(&SnapshotReply{t.handler.Snapshot()})
+	frame, err := t.encodedSnapshot()
 	if err != nil {
 		t.log.Error(err, "cannot encode snapshot")
 		return
@@ -144,6 +149,30 @@
 	}
 }
 
+// encodedSnapshot returns the reply with the current snapshot. Many VMs request one at the same time when a
+// fleet starts, and get the same.
+func (t *Transport) encodedSnapshot() ([]byte, error) {
+	t.cacheMu.Lock()
+	defer t.cacheMu.Unlock()
+	if t.cached != nil && time.Since(t.cachedAt) < snapshotCacheTTL {
+		return t.cached, nil
+	}
+	var reply SnapshotReply
+	s := t.handler.Snapshot()
+	if s != nil {
+		compressed, err := compressSnapshot(s)
+		if err != nil {
+			return nil, err
+		}
+		reply.Compressed = compressed
+	}
+	frame, err := wire.Encode(&reply)
+	if err == nil && s != nil {
+		t.cached, t.cachedAt = frame, time.Now()
+	}
+	return frame, errors.Trace(err)
+}
+
 // FetchSnapshot requests a snapshot from the VM at an address.
 func (t *Transport) FetchSnapshot(ctx context.Context, self fleet.VMID, address string) (*follower.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
@@ -167,10 +196,10 @@
 		return nil, errors.Trace(err)
 	}
 	reply, ok := m.(*SnapshotReply)
-	if !ok || reply.Snapshot == nil {
+	if !ok || reply.Compressed == nil {
 		return nil, errors.NotFoundf("snapshot at %s", address)
 	}
-	return reply.Snapshot, nil
+	return decompressSnapshot(reply.Compressed)
 }
 
 // Close closes the sockets, which ends Serve.
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -9,6 +9,7 @@
 // reads servers and configuration from the store and discovers other VMs through the seeds.
 type Gateway struct {
 	VM          VM                `json:"vm"`
+	Cores       float64           `json:"cores"` // processor share of the VM in cores; 0 if unknown. Larger VMs relay for others
 	Zones       map[string]string `json:"zones"` // region of each zone
 	Listen      GatewayListen     `json:"listen"`
 	Seeds       []string          `json:"seeds"` // IP addresses of VMs to contact at start, with or without a port
@@ -115,7 +116,7 @@
 	d.checkDuration("shutdown.leave", g.Shutdown.DrainDelay, 0, maxDrainDelay)
 	d.checkDuration("repeats.window", g.RetryBudget.Window, time.Second, time.Hour)
 	d.checkFraction("repeats.ratio", g.RetryBudget.Ratio)
-	for path, v := range map[string]float64{"repeats.slack": g.RetryBudget.Slack, "prices.zone_per_kb": g.Prices.CrossZonePerKB, "prices.region_per_kb": g.Prices.CrossRegionPerKB} {
+	for path, v := range map[string]float64{"cores": g.Cores, "repeats.slack": g.RetryBudget.Slack, "prices.zone_per_kb": g.Prices.CrossZonePerKB, "prices.region_per_kb": g.Prices.CrossRegionPerKB} {
 		if !(v >= 0) {
 			d.fail(path, "expected a non-negative number, found %v", v)
 		}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -106,7 +106,10 @@
 	}
 	m := newMessage()
 	r := bytes.NewReader(body)
-	if err := msgpack.NewDecoder(r).Decode(m); err != nil {
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(r)
+	if err := dec.Decode(m); err != nil {
 		return nil, &FrameError{kind, err.Error()}
 	}
 	if r.Len() > 0 {
