A planned stop serves connections that wait to be accepted and requests that arrived in part

Cause: http.Server.Shutdown resets connections in the accept queue and closes a connection as idle until it has read the whole head of a request, so requests that callers had sent were cut during a planned stop (reported by operators of similar systems).

Change: proxy.Shutdown accepts what the kernel holds before it closes the listener, counts the requests of which a byte was read, and closes a connection only when none is unanswered and the kernel holds no byte for it. New connections have a second for their first byte. Both kinds of VM use it.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -395,3 +396,58 @@
 	}
 	require.True(t, used)
 }
+
+// Guards against a cheaper server that is not considered because its zone is farther away: servers that are
+// left out cost more by their transfer alone than the chosen one in all.
+func TestFarServersAreLeftOutOnlyIfTheyCostMore(t *testing.T) {
+	for seed := range uint64(200) {
+		tb := newTestBalancer(t)
+		rnd := rng(seed + 1)
+		for i := range 30 {
+			place := [][2]string{{"addis", "addis-a"}, {"addis", "addis-b"}, {"hawassa", "hawassa-a"}}[i%3]
+			tb.putServer(fmt.Sprint("s", i), place[0], place[1], fleet.StateLive)
+		}
+		for _, s := range tb.servers {
+			s.health.risk, s.health.updated = rnd.float(), tb.now
+			s.remote = int(rnd.next() % 9)
+		}
+		w := tb.work(func(w *pool.Work) { w.Bytes = int(rnd.next() % 8192) })
+		svc := tb.service(ticketDesk)
+		considered := tb.candidates(tb.now, svc, w)
+		best := considered[0]
+		for _, c := range considered {
+			if c.cost < best.cost {
+				best = c
+			}
+		}
+		for _, s := range tb.servers {
+			if c := tb.evaluate(tb.now, s, tb.route(w.Route), w); c.cost < best.cost-costJitter {
+				require.Fail(t, "cheaper server", "seed %d: %s costs %f, chosen %f", seed, s.entry.Server.ID, c.cost, best.cost)
+			}
+		}
+	}
+}
+
+// Guards against reports with impossible values, which must not change what this VM knows for good.
+func TestImpossibleReportsAreIgnored(t *testing.T) {
+	tb := newTestBalancer(t, "a", "b")
+	tb.reportHealthy("a", "b")
+	nan := float32(math.NaN())
+	tb.ApplyReport(tb.now, "vm1", Report{Zone: "addis-a",
+		Loads: []Load{{Server: "a", InFlight: math.MaxInt}, {Server: "a", InFlight: -5}, {Server: "none", InFlight: 3}},
+		Observations: []Observation{
+			{Server: "a", Outcome: OutcomeFailed, AgeMS: math.MaxInt64}, {Server: "a", Outcome: OutcomeFailed, AgeMS: -1},
+			{Server: "a", Outcome: 200, Slowdown: nan}, {Server: "b", Outcome: OutcomeOK, Slowdown: float32(math.Inf(1))},
+		}})
+	require.Less(t, tb.servers["a"].health.riskAt(tb.now), suspectThreshold)
+	require.Zero(t, tb.servers["a"].load())
+	tb.ApplyDigest(tb.now, Digest{Zone: "addis-b",
+		Servers:  []ServerEstimate{{Server: "a", Risk: nan, Load: math.MaxInt}},
+		Services: []ServiceStats{{Service: ticketDesk, Failed: nan, Requests: float32(math.Inf(1)), Utilization: nan}}})
+	require.GreaterOrEqual(t, tb.service(ticketDesk).failureRatio(tb.now), 0.0)
+	require.False(t, math.IsNaN(tb.service(ticketDesk).failureRatio(tb.now)))
+	require.Equal(t, result.OK, tb.choose(nil).Code)
+	tb.now = tb.now.Add(20 * time.Second)
+	tb.Tick(tb.now)
+	require.Equal(t, result.OK, tb.choose(nil).Code)
+}
--- a/pkg/balance/digest.go
+++ b/pkg/balance/digest.go
@@ -57,6 +57,14 @@
 	Utilization float32 // requests in flight over the slots of the zone's healthy servers
 }
 
+// maxReportedRequests bounds the weight of one zone's outcomes.
+const maxReportedRequests = 1 << 24
+
+// valid reports whether the numbers are possible; comparisons with NaN are false.
+func (s ServiceStats) valid() bool {
+	return s.Failed >= 0 && s.Failed <= s.Requests && s.Requests <= maxReportedRequests && s.Utilization >= 0
+}
+
 // zoneStats is a ServiceStats received from another zone.
 type zoneStats struct {
 	ServiceStats
@@ -89,7 +97,7 @@
 func (b *Balancer) ApplyDigest(now fleet.Time, d Digest) {
 	for _, e := range d.Servers {
 		s := b.servers[e.Server]
-		if s == nil || !(e.Risk >= 0 && e.Risk <= 1) {
+		if s == nil || !(e.Risk >= 0 && e.Risk <= 1) || e.Load < 0 || e.Load > maxReportedLoad {
 			continue
 		}
 		if s.distance != inZone {
@@ -103,6 +111,9 @@
 		return
 	}
 	for _, e := range d.Services {
+		if !e.valid() {
+			continue
+		}
 		svc := b.service(e.Service)
 		if svc.zoneStats == nil {
 			svc.zoneStats = make(map[fleet.Zone]zoneStats)
--- a/pkg/follower/follower_test.go
+++ b/pkg/follower/follower_test.go
@@ -314,3 +314,61 @@
 	tr.run(10 * time.Second)
 	require.LessOrEqual(t, tr.storeCalls-before, 80)
 }
+
+// Guards against a large fleet that starts, in which each VM reads the store before the snapshots of
+// the first readers arrive, and against one whose VMs all take over when one reader falls silent.
+func TestFewVMsOfLargeFleetReadTheStore(t *testing.T) {
+	tr := newTestRegion(t, 150)
+	for i, v := range tr.vms {
+		seed := i == 70
+		v.Follower = New(Config{Self: fleet.VMID(v.id), WaitForSeeds: !seed})
+		v.SetRank(i)
+		v.SetHasPeers(true)
+	}
+	tr.docs = []uint64{1}
+	for i := range 1000 {
+		tr.registrations = append(tr.registrations, record{fmt.Sprint("s", i), fleet.StateLive})
+	}
+	tr.vms[70].SetRank(0)
+	tr.run(1200 * time.Millisecond)
+	for _, v := range tr.vms {
+		require.True(t, v.Ready(), v.id)
+	}
+	require.LessOrEqual(t, tr.storeCalls, 3, "the seed reads at once and after readInterval")
+
+	tr.vms[70].SetRank(70)
+	calls := tr.storeCalls
+	tr.down["vm70"] = true
+	tr.run(3 * time.Second)
+	require.LessOrEqual(t, tr.storeCalls-calls, 12, "one VM takes over")
+}
+
+// Guards against an update that is too large for a datagram, and against a VM that takes an
+// update of which a part is missing for complete.
+func TestLargeUpdatesAreSplit(t *testing.T) {
+	tr := newTestRegion(t, 2)
+	tr.docs = []uint64{1}
+	tr.registrations = []record{{"s", fleet.StateLive}}
+	tr.run(time.Second)
+	for i := range 3 * maxUpdateChanges {
+		tr.registrations = append(tr.registrations, record{fmt.Sprint("s", i), fleet.StateLive})
+	}
+	var parts []Update
+	reader := tr.vms[0]
+	for len(parts) < 2 {
+		tr.now = tr.now.Add(10 * time.Millisecond)
+		tr.readServers(reader)
+		parts = reader.Updates()
+	}
+	require.Len(t, parts, 3)
+	other := tr.vms[1]
+	before := other.position
+	for _, i := range []int{2, 0, 0, 2} {
+		require.LessOrEqual(t, len(parts[i].Changes), maxUpdateChanges)
+		other.ApplyUpdate(tr.now, "vm0", 0, parts[i])
+		require.Equal(t, before, other.position, "a part is missing")
+	}
+	other.ApplyUpdate(tr.now, "vm0", 0, parts[1])
+	require.Equal(t, reader.position, other.position)
+	require.Len(t, other.Entries(), len(reader.Entries()))
+}
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -61,8 +61,7 @@
 	time.Sleep(min(s.DrainDelay.D(), time.Until(end)))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	// Shutdown closes idle connections and waits for those with a request in progress.
-	err := g.callers.server.Shutdown(ctx)
+	err := g.proxy.Shutdown(ctx, g.callers.server)
 	g.log.Info("stopped", "in_flight", g.proxy.InFlight(), "took_ms", time.Since(start).Milliseconds())
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil // the log states how many requests were interrupted
--- a/pkg/mesh/compress.go
+++ b/pkg/mesh/compress.go
@@ -78,13 +78,24 @@
 
 func decodeDatagram(data []byte) (fleet.Message, error) {
 	m, err := wire.Decode(data)
-	if c, ok := m.(*Compressed); ok && err == nil {
-		var frame []byte
-		if frame, err = decompress(c.Frame, maxFrameBytes); err == nil {
-			m, err = wire.Decode(frame)
-		}
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	c, ok := m.(*Compressed)
+	if !ok {
+		return m, nil
+	}
+	frame, err := decompress(c.Frame, maxFrameBytes)
+	if err != nil {
+		return nil, err
+	}
+	if m, err = wire.Decode(frame); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if _, nested := m.(*Compressed); nested {
+		return nil, errors.NotValidf("compressed message in a compressed message")
 	}
-	return m, errors.Trace(err)
+	return m, nil
 }
 
 func compressSnapshot(s *follower.Snapshot) ([]byte, error) {
--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -33,6 +33,10 @@
 // maxListedMembers bounds the members in one Welcome, which must fit into a datagram.
 const maxListedMembers = 96
 
+// maxFleetSize bounds the number of VMs that is believed of a peer. FleetSize never decreases, so a
+// single wrong number would leave this VM without retries.
+const maxFleetSize = 1 << 17
+
 // Member identifies a VM to other VMs.
 type Member struct {
 	ID     fleet.VMID   `msgpack:"i"`
@@ -399,11 +403,17 @@
 }
 
 // RecordFleetSize records the number of VMs known to a peer.
-func (m *Members) RecordFleetSize(n int) { m.fleetSize = max(m.fleetSize, n) }
+func (m *Members) RecordFleetSize(n int) {
+	if n <= maxFleetSize {
+		m.fleetSize = max(m.fleetSize, n)
+	}
+}
 
 // RecordZoneSize records the number of VMs of another zone, from its digests.
 func (m *Members) RecordZoneSize(zone fleet.Zone, n int) {
-	m.zoneSizes[zone] = max(m.zoneSizes[zone], n)
+	if n <= maxFleetSize {
+		m.zoneSizes[zone] = max(m.zoneSizes[zone], n)
+	}
 }
 
 // ZoneSize returns the number of known VMs of this zone, this one included.
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -42,7 +42,7 @@
 	n.withCore(func(now fleet.Time) { n.core.Resign(now) })
 	sleep(ctx, s.DrainDelay.D())
 	err := n.proxy.Drain(ctx)
-	callersErr := n.callers.server.Shutdown(ctx)
+	callersErr := n.proxy.Shutdown(ctx, n.callers.server)
 	handoverErr := n.awaitHandover(ctx)
 	flushCtx, flushCancel := context.WithTimeout(ctx, journalFlushTimeout)
 	defer flushCancel()
--- a/pkg/proxy/framing.go
+++ b/pkg/proxy/framing.go
@@ -9,6 +9,10 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
 )
@@ -25,33 +29,55 @@
 // WrapListener wraps a listener for callers. Its connections enforce HTTP/1 framing more strictly than
 // net/http, which accepts some ambiguous forms: Content-Length together with Transfer-Encoding,
 // repeated Content-Length, folded headers, bare line feeds, and Transfer-Encoding in HTTP/1.0. They
-// also enforce the document's limits for callers.
+// also enforce the document's limits for callers. Shutdown stops the listener.
 func (p *Proxy) WrapListener(l net.Listener) net.Listener {
-	return &framingListener{Listener: l, limits: p.callerLimits}
+	wrapped := &framingListener{Listener: l, limits: p.callerLimits, conns: &p.callerConns, stopped: make(chan struct{})}
+	p.callerConns.addListener(wrapped)
+	return wrapped
 }
 
 type framingListener struct {
 	net.Listener
 	limits func() callerLimits
+	conns  *callerConns
+
+	stopping atomic.Bool
+	stopOnce sync.Once
+	stopped  chan struct{} // closed when no further connection is accepted
 }
 
 // Accept returns the next connection, wrapped with the framing check.
 func (l *framingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.accept()
 	if err != nil {
 		return nil, err
 	}
-	return &framingConn{Conn: c, limits: l.limits, scanner: scanner{limit: l.limits().header}}, nil
+	fc := &framingConn{Conn: c, limits: l.limits, scanner: scanner{limit: l.limits().header}, accepted: time.Now()}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		if fc.raw, err = tcp.SyscallConn(); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	l.conns.add(fc)
+	return fc, nil
 }
 
 // framingConn scans what a caller sends. The byte that completes a violation never reaches net/http: the
 // read fails, and net/http responds with an error and closes the connection.
 type framingConn struct {
 	net.Conn
-	limits  func() callerLimits
-	scanner scanner
-	failed  *framingError
-	timer   callerTimer
+	raw      syscall.RawConn // nil if the connection is not TCP
+	limits   func() callerLimits
+	scanner  scanner
+	failed   *framingError
+	timer    callerTimer
+	accepted time.Time
+
+	mu       sync.Mutex
+	scanning bool // bytes were read that the scanner has not counted
+	started  int  // requests of which a byte was read
+	finished int  // requests whose response was sent
 }
 
 // Read reads and scans data from the caller.
@@ -59,14 +85,15 @@
 	if c.failed != nil {
 		return 0, c.failed
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendIdle() {
-		n, err = c.Conn.Read(p)
+		n, err = c.read(p)
 	}
 	if n > 0 && c.scanner.idle() {
 		c.scanner.limit = c.limits().header
 	}
 	accepted, framingErr := c.scanner.feed(p[:n])
+	c.countRequests()
 	c.updateHeaderDeadline()
 	if framingErr != nil {
 		c.failed = framingErr
@@ -152,6 +179,7 @@
 	codings     int   // number of Transfer-Encoding headers
 	notHTTP11   bool  // the request is not HTTP/1.1
 	headerSeen  bool  // a complete request header was read on this connection
+	requests    int   // requests of which a byte was read
 }
 
 // idle reports whether the connection is between two requests.
@@ -178,6 +206,9 @@
 			}
 			continue
 		}
+		if s.idle() {
+			s.requests++
+		}
 		j := bytes.IndexByte(p[i:], '\n')
 		if j < 0 {
 			s.line = append(s.line, p[i:]...)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -127,6 +127,8 @@
 	ids        *idSource
 	successes  atomic.Uint64 // successful requests, counted to log a sample of them
 
+	callerConns callerConns
+
 	mu       sync.Mutex
 	inFlight int
 	draining bool          // set by Drain; new requests are refused
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -23,6 +23,7 @@
 		IdleTimeout:                  p.limits.IdleTimeout,
 		MaxHeaderBytes:               p.limits.MaxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
+		ConnState:                    p.callerConns.observe,
 		ErrorLog:                     log.New(NewStandardLogWriter(p.log), "", 0),
 	}
 }
--- a/pkg/proxy/serverconn.go
+++ b/pkg/proxy/serverconn.go
@@ -238,24 +238,67 @@
 // checkPendingInput returns an error if the kernel holds unread bytes or the end of the stream from the
 // server. mu must be held, so that no Read runs at the same time.
 func (c *serverConn) checkPendingInput() error {
-	var found error
-	err := c.raw.Control(func(fd uintptr) {
+	switch pendingInput(c.raw) {
+	case inputNone:
+		return nil
+	case inputBytes:
+		return errStrayBytes
+	}
+	return errServerClosed
+}
+
+// input is what the kernel holds for a connection.
+type input uint8
+
+const (
+	inputNone  input = iota
+	inputBytes       // unread bytes
+	inputEnded       // the end of the stream, or an error
+)
+
+// pendingInput returns what the kernel holds for a connection, without waiting.
+func pendingInput(raw syscall.RawConn) input {
+	found := inputNone
+	err := raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
 		case err == syscall.EAGAIN || err == syscall.EINTR:
 		case err != nil || n == 0:
-			found = errServerClosed
+			found = inputEnded
 		default:
-			found = errStrayBytes
+			found = inputBytes
 		}
 	})
 	if err != nil {
-		return errServerClosed
+		return inputEnded
 	}
 	return found
 }
 
+// readFD reads from a non-blocking socket.
+func readFD(fd int, p []byte) (int, error) {
+	for {
+		n, err := syscall.Read(fd, p)
+		if err != syscall.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
+
+// readResult converts the results of readFD and RawConn.Read to those of net.Conn.Read.
+func readResult(c net.Conn, n int, err, rawErr error) (int, error) {
+	switch {
+	case rawErr != nil:
+		return 0, rawErr
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // Read reads from the server. The system call and the update of the counters are one step under mu, so
 // that beginWrite finds each received byte either counted here or still in the kernel.
 func (c *serverConn) Read(p []byte) (n int, err error) {
@@ -265,12 +308,7 @@
 	rawErr := c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		for {
-			n, err = syscall.Read(int(fd), p)
-			if err != syscall.EINTR {
-				break
-			}
-		}
+		n, err = readFD(int(fd), p)
 		if err == syscall.EAGAIN {
 			return false
 		}
@@ -288,18 +326,12 @@
 		}
 		return true
 	})
-	switch {
-	case rawErr != nil:
-		return 0, rawErr
-	case err == errStrayBytes:
+	if err == errStrayBytes && rawErr == nil {
 		return 0, err
-	case err != nil:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
-	case n == 0:
-		return 0, io.EOF
 	}
+	n, err = readResult(c.Conn, n, err, rawErr)
 	c.countBytes(n)
-	return n, nil
+	return n, err
 }
 
 // Close closes the connection and calls onClose the first time.
--- /dev/null
+++ b/pkg/proxy/shutdown.go
@@ -0,0 +1,181 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Intervals of a shutdown.
+const (
+	// backlogTimeout is how long Shutdown waits for a connection that the kernel has accepted.
+	backlogTimeout = 5 * time.Millisecond
+	// firstByteGrace is how long a new connection stays open without a byte of a request.
+	firstByteGrace   = time.Second
+	idleScanInterval = 10 * time.Millisecond
+)
+
+// callerConns holds the open connections of callers. http.Server.Shutdown alone would cut requests: it
+// resets connections that wait to be accepted, and closes a connection as idle until it has read the
+// whole header of a request.
+type callerConns struct {
+	mu        sync.Mutex
+	conns     map[*framingConn]struct{}
+	listeners []*framingListener
+}
+
+func (cc *callerConns) addListener(l *framingListener) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.listeners = append(cc.listeners, l)
+}
+
+func (cc *callerConns) add(c *framingConn) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.conns == nil {
+		cc.conns = make(map[*framingConn]struct{})
+	}
+	cc.conns[c] = struct{}{}
+}
+
+// observe is the ConnState hook of the server for callers.
+func (cc *callerConns) observe(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*framingConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle: // the response of a request was sent
+		c.mu.Lock()
+		c.finished++
+		c.mu.Unlock()
+	case http.StateClosed, http.StateHijacked:
+		cc.mu.Lock()
+		delete(cc.conns, c)
+		cc.mu.Unlock()
+	}
+}
+
+// closeIdle closes the connections without a request and returns how many stay open.
+func (cc *callerConns) closeIdle(now time.Time) int {
+	cc.mu.Lock()
+	open := make([]*framingConn, 0, len(cc.conns))
+	for c := range cc.conns {
+		open = append(open, c)
+	}
+	cc.mu.Unlock()
+	for _, c := range open {
+		c.closeIfIdle(now)
+	}
+	return len(open) // net/http reports each closed connection to observe
+}
+
+// Shutdown stops a server that Serve runs, without cutting a request: connections that the kernel has
+// accepted are served, and a connection is closed only if no byte of a request was received on it.
+// It returns the error of ctx if requests are still in flight when ctx ends.
+func (p *Proxy) Shutdown(ctx context.Context, s *http.Server) error {
+	p.callerConns.mu.Lock()
+	listeners := p.callerConns.listeners
+	p.callerConns.mu.Unlock()
+	for _, l := range listeners {
+		l.stop(ctx)
+	}
+	ticker := time.NewTicker(idleScanInterval)
+	defer ticker.Stop()
+	for p.callerConns.closeIdle(time.Now()) > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case <-ticker.C:
+		}
+	}
+	return errors.Trace(s.Shutdown(ctx))
+}
+
+// stop makes Accept return the connections that the kernel has accepted and then close the listener.
+func (l *framingListener) stop(ctx context.Context) {
+	l.stopping.Store(true)
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || d.SetDeadline(time.Now()) != nil {
+		l.finishStop()
+		return
+	}
+	select {
+	case <-l.stopped:
+	case <-ctx.Done():
+	}
+}
+
+func (l *framingListener) finishStop() {
+	l.stopOnce.Do(func() {
+		l.Listener.Close()
+		close(l.stopped)
+	})
+}
+
+// accept accepts a connection. While the listener is being stopped it waits backlogTimeout for one.
+func (l *framingListener) accept() (net.Conn, error) {
+	for {
+		if l.stopping.Load() {
+			if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+				_ = d.SetDeadline(time.Now().Add(backlogTimeout)) // fails only on a closed listener
+			}
+		}
+		stopping := l.stopping.Load()
+		c, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			return c, nil
+		case stopping:
+			l.finishStop()
+			return nil, net.ErrClosed
+		case l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+			continue // stop interrupted the wait
+		}
+		return nil, err
+	}
+}
+
+// read reads from the connection. The system call and the update of c.scanning are one step under c.mu,
+// so that closeIfIdle finds each received byte either counted or still in the kernel.
+func (c *framingConn) read(p []byte) (n int, err error) {
+	if c.raw == nil || len(p) == 0 {
+		return c.Conn.Read(p)
+	}
+	rawErr := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		n, err = readFD(int(fd), p)
+		c.scanning = c.scanning || n > 0
+		return err != syscall.EAGAIN
+	})
+	return readResult(c.Conn, n, err, rawErr)
+}
+
+// countRequests records the requests that the scanner has found.
+func (c *framingConn) countRequests() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started, c.scanning = c.scanner.requests, false
+}
+
+// closeIfIdle closes the connection unless a byte of an unanswered request was received, or the
+// connection is new and its first request may be on the way.
+func (c *framingConn) closeIfIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.scanning || c.started > c.finished || c.started == 0 && now.Sub(c.accepted) < firstByteGrace {
+		return
+	}
+	if c.raw != nil && pendingInput(c.raw) == inputBytes {
+		return
+	}
+	c.Conn.Close()
+}
--- /dev/null
+++ b/pkg/proxy/shutdown_test.go
@@ -0,0 +1,174 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// shutdownProxy is a proxy whose server a test shuts down.
+type shutdownProxy struct {
+	*testProxy
+	server *http.Server
+	ln     net.Listener
+}
+
+func newShutdownProxy(t *testing.T, backends int) *shutdownProxy {
+	tp := newTestProxy(t, testProxyOptions{backends: backends, slots: 64})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	sp := &shutdownProxy{testProxy: tp, server: tp.proxy.NewServer(), ln: l}
+	t.Cleanup(func() { sp.server.Close() })
+	return sp
+}
+
+func (sp *shutdownProxy) serve() { go func() { _ = sp.proxy.Serve(sp.server, sp.ln) }() }
+
+func (sp *shutdownProxy) shutdown(t *testing.T) {
+	sp.engine.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	require.NoError(t, sp.proxy.Shutdown(ctx, sp.server))
+}
+
+// Guards against a planned stop that resets connections which the kernel has accepted and the process has
+// not: their callers have sent whole requests. The accept loop starts late, so all connections wait.
+func TestShutdownServesWaitingConnections(t *testing.T) {
+	sp := newShutdownProxy(t, 2)
+	const callers = 50
+	var conns []net.Conn
+	for i := range callers {
+		c, err := net.Dial("tcp", sp.ln.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = fmt.Fprintf(c, "POST /book?work=20ms HTTP/1.1\r\nHost: a\r\nX-Request-Id: q%d\r\nContent-Length: 1\r\n\r\nx", i)
+		require.NoError(t, err)
+		conns = append(conns, c)
+	}
+	sp.serve()
+	sp.shutdown(t)
+	for _, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err, "a request that was sent before the stop was cut")
+		require.Equal(t, 200, resp.StatusCode)
+	}
+	_, err := net.Dial("tcp", sp.ln.Addr().String())
+	require.Error(t, err, "no connection is accepted after the stop")
+}
+
+// Guards against a planned stop that cuts a request of which the head or the body has arrived in part, on
+// new and on kept connections, and against one that waits for callers that send nothing.
+func TestShutdownServesRequestsInProgress(t *testing.T) {
+	const first = "GET /menu HTTP/1.1\r\nHost: a\r\n\r\n"
+	request := "POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 40\r\n\r\n" + strings.Repeat("x", 40)
+	for seed := range uint64(20) {
+		rnd := rand.New(rand.NewPCG(seed, 0))
+		sp := newShutdownProxy(t, 1)
+		sp.serve()
+		type caller struct {
+			conn net.Conn
+			rd   *bufio.Reader
+			sent int
+		}
+		var callers []*caller
+		for range 12 {
+			c, err := net.Dial("tcp", sp.ln.Addr().String())
+			require.NoError(t, err)
+			defer c.Close()
+			v := &caller{conn: c, rd: bufio.NewReader(c)}
+			if rnd.IntN(2) == 0 { // the connection has served a request
+				_, err = c.Write([]byte(first))
+				require.NoError(t, err)
+				resp, err := http.ReadResponse(v.rd, nil)
+				require.NoError(t, err)
+				_, err = v.rd.Discard(int(resp.ContentLength))
+				require.NoError(t, err)
+			}
+			v.sent = rnd.IntN(len(request))
+			_, err = c.Write([]byte(request[:v.sent]))
+			require.NoError(t, err)
+			callers = append(callers, v)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			sp.shutdown(t)
+		}()
+		var all sync.WaitGroup
+		for _, v := range callers {
+			if v.sent == 0 {
+				continue
+			}
+			all.Go(func() {
+				time.Sleep(time.Duration(v.sent) * time.Millisecond / 4)
+				_, _ = v.conn.Write([]byte(request[v.sent:]))
+				resp, err := http.ReadResponse(v.rd, nil)
+				if err != nil || resp.StatusCode != 200 || !resp.Close {
+					t.Errorf("seed %d: a request with %d bytes sent before the stop: %v %v", seed, v.sent, resp, err)
+				}
+			})
+		}
+		all.Wait()
+		<-done
+	}
+}
+
+// Guards against a planned stop during load that leaves a request without an answer: callers on kept
+// connections send one request after the other until the connection is closed.
+func TestShutdownUnderLoad(t *testing.T) {
+	for seed := range uint64(10) {
+		sp := newShutdownProxy(t, 2)
+		sp.serve()
+		stopping := make(chan struct{})
+		var all sync.WaitGroup
+		for i := range 16 {
+			all.Go(func() {
+				rnd := rand.New(rand.NewPCG(seed, uint64(i)))
+				c, err := net.Dial("tcp", sp.ln.Addr().String())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				rd := bufio.NewReader(c)
+				for {
+					body := strings.Repeat("b", 1+rnd.IntN(3000))
+					_, writeErr := fmt.Fprintf(c, "POST /book?work=%dms HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", rnd.IntN(4), len(body), body)
+					stopped := false
+					select {
+					case <-stopping:
+						stopped = true
+					default:
+					}
+					resp, err := http.ReadResponse(rd, nil)
+					if err != nil {
+						// A request that crosses the close of an idle connection is the only one without an answer.
+						if !stopped && writeErr == nil {
+							t.Errorf("seed %d: no answer: %v", seed, err)
+						}
+						return
+					}
+					if _, err := rd.Discard(int(resp.ContentLength)); err != nil || resp.StatusCode != 200 {
+						t.Errorf("seed %d: status %d, body: %v", seed, resp.StatusCode, err)
+					}
+					if resp.Close {
+						return
+					}
+				}
+			})
+		}
+		time.Sleep(time.Duration(5+seed) * time.Millisecond)
+		close(stopping)
+		sp.shutdown(t)
+		all.Wait()
+	}
+}
