Suspects and servers behind bad paths stay in use while their service fails

Suspects with requests in flight, or with a risk above 0.85 for 1.5 s after several failures, got nothing while the retry budget allowed no trials. Servers whose path to one VM was cut became suspects at all VMs of the zone because of that VM's timeouts, and its attempts to connect counted as use.

Change: while a service fails, a server idle for 1.2 s (repeatable requests) or 1.6 s (others) is used whatever its risk, the longest idle first, each VM up to 0.25 s later by a hash. Path outcomes (late, timeout, unreachable) of one VM count once in 3 s at the others, unreachable only if a second VM has trouble; attempts that reached no server do not count as use.

Ruled out: the share of servers in use in a zone as the condition; only 34 of 192 servers were idle, but the 13 sound ones were no fair sample.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -407,10 +408,12 @@
 			place := [][2]string{{"addis", "addis-a"}, {"addis", "addis-b"}, {"hawassa", "hawassa-a"}}[i%3]
 			tb.putServer(fmt.Sprint("s", i), place[0], place[1], fleet.StateLive)
 		}
-		for _, s := range tb.servers {
+		for i := range 30 {
+			s := tb.servers[fleet.ServerID(fmt.Sprint("s", i))]
 			s.health.risk, s.health.updated = rnd.float(), tb.now
 			s.remote = int(rnd.next() % 9)
 		}
+		tb.ApplyDigest(tb.now, Digest{Zone: "hawassa-a", Services: []ServiceStats{{Service: ticketDesk, Requests: 1}}}) // the zone takes requests
 		w := tb.work(func(w *pool.Work) { w.Bytes = int(rnd.next() % 8192) })
 		svc := tb.service(ticketDesk)
 		considered := tb.candidates(tb.now, svc, w)
@@ -451,3 +454,64 @@
 	tb.Tick(tb.now)
 	require.Equal(t, result.OK, tb.choose(nil).Code)
 }
+
+// Guards against a service below its floor: while it fails, suspects with two long requests of other VMs get
+// nothing for 2 s, although they may have recovered (FLOOR of the grown Division: 6 of 13 sound servers).
+func TestBusySuspectsAreUsedWhileServiceFails(t *testing.T) {
+	ids := make([]string, 12)
+	for i := range ids {
+		ids[i] = fmt.Sprint("s", i)
+	}
+	tb := newTestBalancer(t, ids...)
+	busy := Report{Zone: "addis-a"}
+	for _, id := range ids[:5] {
+		busy.Loads = append(busy.Loads, Load{Server: fleet.ServerID(id), InFlight: 2})
+	}
+	lastUse := map[fleet.ServerID]fleet.Time{}
+	start := tb.now
+	for i := 0; tb.now < start.Add(20*time.Second); i++ {
+		tb.now = tb.now.Add(25 * time.Millisecond)
+		tb.ApplyReport(tb.now, "vm1", Report{Zone: busy.Zone, Loads: slices.Clone(busy.Loads)})
+		d := tb.choose(nil)
+		state := pool.EndOK
+		if slices.Contains(ids[:5], string(d.Server.ID)) || i%9 == 0 {
+			state = pool.EndFailed
+		}
+		tb.End(tb.now, d.Work, pool.End{State: state, Duration: 20 * time.Millisecond, RequestSent: true})
+		lastUse[d.Server.ID] = tb.now
+		idle := 0
+		for _, id := range ids {
+			if tb.now.Sub(max(lastUse[fleet.ServerID(id)], start)) >= 2*time.Second {
+				idle++
+			}
+		}
+		require.LessOrEqual(t, idle, 3, "at %s", tb.now.Sub(start))
+	}
+}
+
+// Guards against a VM with a bad path to a server that makes all VMs of the zone avoid it: only the
+// VM itself must, while others are served there.
+func TestBadPathOfOneVMDoesNotSuspectServer(t *testing.T) {
+	tb := newTestBalancer(t, "a", "b")
+	tb.reportHealthy("a", "b")
+	path := func(vm string, outcomes ...Outcome) {
+		for _, o := range outcomes {
+			tb.now = tb.now.Add(100 * time.Millisecond)
+			tb.ApplyReport(tb.now, fleet.VMID(vm), Report{Zone: "addis-a", Observations: []Observation{{Server: "a", Outcome: o, Final: true}}})
+		}
+	}
+	path("vm1", OutcomeUnreachable, OutcomeLate, OutcomeLate, OutcomeTimeout, OutcomeUnreachable, OutcomeTimeout)
+	require.Less(t, tb.servers["a"].health.riskAt(tb.now), suspectThreshold)
+	path("vm2", OutcomeLate)
+	path("vm3", OutcomeLate, OutcomeUnreachable)
+	require.Greater(t, tb.servers["a"].health.riskAt(tb.now), suspectThreshold, "the server hangs for several VMs")
+}
+
+// Guards against a server that counts as used because of requests that did not reach it.
+func TestUnreachedServerIsIdle(t *testing.T) {
+	tb := newTestBalancer(t, "a")
+	before := tb.servers["a"].lastUsed
+	tb.now = tb.now.Add(time.Second)
+	tb.serve(pool.EndUnreachable, 300*time.Millisecond, nil)
+	require.Equal(t, before, tb.servers["a"].lastUsed)
+}
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
 	"github.com/fulmarbeam/fulmarbeam/pkg/registry"
@@ -42,10 +44,12 @@
 	lastUsed          fleet.Time
 	lastTrial         fleet.Time // last trial request of this VM
 	warmUntil         fleet.Time
-	shedUntil         fleet.Time // counts as full after it shed a request
-	leavingUntil      fleet.Time // not used after it announced its shutdown
-	unreachableUntil  fleet.Time // back-off after a failed connection of this VM
-	connectFailures   int        // consecutive
+	shedUntil         fleet.Time                // counts as full after it shed a request
+	leavingUntil      fleet.Time                // not used after it announced its shutdown
+	unreachableUntil  fleet.Time                // back-off after a failed connection of this VM
+	connectFailures   int                       // consecutive
+	pathFaults        map[fleet.VMID]fleet.Time // last path outcome of each VM with a doubtful path to the server
+	staggerShare      float64                   // in [0, 1), differs between VMs
 }
 
 // attempt is a request in flight at a server.
@@ -57,6 +61,8 @@
 	started fleet.Time
 	final   bool // a failure is not retried
 	late    bool
+
+	usedBefore fleet.Time // the server's lastUsed before the attempt
 }
 
 // service is the state of one service.
@@ -172,6 +178,7 @@
 	s := &server{
 		entry: e, distance: b.distance(e.Server), health: healthEstimate{baselineRisk, now}, slowdown: 1,
 		warmUntil: now.Add(e.Warmup), lastUsed: now,
+		staggerShare: float64(xxhash.Sum64String(string(b.cfg.Self)+"/"+string(e.Server.ID))>>11) / (1 << 53),
 	}
 	b.servers[e.Server.ID] = s
 	svc := b.service(e.Server.Service)
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -44,6 +44,13 @@
 	spreadMaxIdle      = 900 * time.Millisecond
 	spreadMaxLoad      = 1               // requests in flight at an idle server: a single one may be a long request
 	unknownMaxIdle     = 3 * time.Second // of a server whose risk has returned to the baseline, or that was never used
+
+	// While a service fails, at least floorShare of its servers must get requests in any 2 s, and a
+	// server that failed counts again 2 s later, whatever its risk. The idle time after which any
+	// server is used, and the longest delay by which the VMs of a zone differ.
+	floorMaxIdleIdempotent = 1200 * time.Millisecond
+	floorMaxIdle           = 1600 * time.Millisecond
+	floorIdleStagger       = 250 * time.Millisecond
 )
 
 // Back-off and Retry-After times.
@@ -106,7 +113,7 @@
 	}
 	trial := b.trialCandidate(now, svc, w, candidates, best)
 	if trial == nil {
-		trial = b.idleCandidate(now, svc, candidates, best)
+		trial = b.idleCandidate(now, svc, w, candidates, best)
 	}
 	if trial != nil {
 		best = trial
@@ -223,23 +230,42 @@
 // idleCandidate returns a server that no VM has used for a while. Healthy servers are kept
 // in use. While the service as a whole fails more often than usual, the risk of a single
 // server is less conclusive, and avoiding risky servers must not reduce the service's
-// capacity below its floor. Servers whose last failure was some time ago are then used too.
-func (b *Balancer) idleCandidate(now fleet.Time, svc *service, candidates []candidate, best *candidate) *candidate {
+// capacity below its floor. Servers whose last failure was some time ago are then used too,
+// the longest idle first once one has been idle for floorMaxIdle.
+func (b *Balancer) idleCandidate(now fleet.Time, svc *service, w pool.Work, candidates []candidate, best *candidate) *candidate {
 	failing := svc.failureRatio(now) >= spreadFailureRatio
-	var found *candidate
+	floorIdle := floorMaxIdle
+	if w.Idempotent {
+		floorIdle = floorMaxIdleIdempotent
+	}
+	var found, longestIdle *candidate
 	for i := range candidates {
 		c := &candidates[i]
-		eligible := c.server.distance == inZone || b.coveredZones[c.server.entry.Server.Zone]
-		if c == best || !eligible || c.server.load() > spreadMaxLoad || now < c.server.unreachableUntil || now.Sub(c.server.lastUsed) < maxIdle(c.risk, failing) {
+		s := c.server
+		eligible := s.distance == inZone || b.coveredZones[s.entry.Server.Zone]
+		if c == best || !eligible || now < s.unreachableUntil {
 			continue
 		}
-		if found == nil || c.risk < found.risk {
+		idle := now.Sub(s.lastUsed)
+		if failing && idle >= floorIdle+b.stagger(s) && (longestIdle == nil || s.lastUsed < longestIdle.server.lastUsed) {
+			longestIdle = c
+		}
+		if s.load() <= spreadMaxLoad && idle >= maxIdle(c.risk, failing) && (found == nil || c.risk < found.risk) {
 			found = c
 		}
 	}
+	if longestIdle != nil {
+		return longestIdle
+	}
 	return found
 }
 
+// stagger returns how much later than others this VM sends a request to an idle server. The VMs of
+// a zone see a server become idle at the same time, and one request is enough.
+func (b *Balancer) stagger(s *server) time.Duration {
+	return time.Duration(s.staggerShare * float64(floorIdleStagger))
+}
+
 // maxIdle returns how long a server of the given risk may stay idle.
 func maxIdle(risk float64, failing bool) time.Duration {
 	switch {
@@ -264,7 +290,7 @@
 
 func (b *Balancer) startAttempt(now fleet.Time, w pool.Work, s *server) {
 	s.local++
+	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, request: w.RequestID, started: now, final: !w.Idempotent || w.MaxRetries < 1, usedBefore: s.lastUsed}
 	s.lastUsed = now
-	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, request: w.RequestID, started: now, final: !w.Idempotent || w.MaxRetries < 1}
 	b.zone.schedule(now)
 }
--- a/pkg/balance/observe.go
+++ b/pkg/balance/observe.go
@@ -22,6 +22,7 @@
 	slowdownWeight        = 0.3             // of a new value
 	peerTimeout           = 1500 * time.Millisecond
 	maxSlowdown           = 20
+	pathFaultTTL          = 3 * time.Second  // how long a VM's path to a server is doubted after a path outcome
 	maxReportedLoad       = 1 << 16          // requests in flight of one VM at one server; a report with more is wrong
 	maxObservationAge     = 10 * time.Second // an older observation in a report is not evidence
 )
@@ -64,13 +65,48 @@
 	if o == OutcomeOK && s.health.riskAt(now) < suspectThreshold {
 		r.serviceTime.add(e.Duration)
 	}
-	b.observe(now, s, obs, true, true)
+	if o == OutcomeUnreachable && s.lastUsed == a.started {
+		s.lastUsed = a.usedBefore // the request did not arrive
+	}
+	b.observe(now, s, obs, b.cfg.Self, true)
 	b.enqueue(now, s, obs)
 }
 
-// observe updates the state of a server with an observation of this VM (own) or of a peer. FromZone
-// means that the observing VM is in the zone of this VM.
-func (b *Balancer) observe(now fleet.Time, s *server, o Observation, own, fromZone bool) {
+// isPathOutcome reports whether the path between a VM and the server may be the cause of an outcome.
+func isPathOutcome(o Outcome) bool {
+	return o == OutcomeLate || o == OutcomeTimeout || o == OutcomeUnreachable
+}
+
+// countsAgainstServer records which VMs have trouble on their path to the server, and reports whether
+// the outcome of another VM is evidence about the server itself. Repeated path outcomes of one VM are
+// not, and a failed connection of a VM is only if another VM has trouble as well.
+func (s *server) countsAgainstServer(at fleet.Time, from, self fleet.VMID, o Outcome) bool {
+	if o == OutcomeOK || o == OutcomeFailed {
+		delete(s.pathFaults, from)
+	}
+	if !isPathOutcome(o) {
+		return true
+	}
+	others := 0
+	for vm, fault := range s.pathFaults {
+		if at.Sub(fault) >= pathFaultTTL {
+			delete(s.pathFaults, vm)
+		} else if vm != from {
+			others++
+		}
+	}
+	_, repeated := s.pathFaults[from]
+	if s.pathFaults == nil {
+		s.pathFaults = make(map[fleet.VMID]fleet.Time)
+	}
+	s.pathFaults[from] = at
+	return from == self || !repeated && (o != OutcomeUnreachable || others > 0)
+}
+
+// observe updates the state of a server with an observation of a VM. FromZone means that the observing VM is
+// in the zone of this VM.
+func (b *Balancer) observe(now fleet.Time, s *server, o Observation, from fleet.VMID, fromZone bool) {
+	own := from == b.cfg.Self
 	at := now.Add(-time.Duration(o.AgeMS) * time.Millisecond)
 	before := s.health.riskAt(now)
 	switch o.Outcome {
@@ -88,8 +124,9 @@
 			s.connectFailures, s.unreachableUntil = 0, 0
 		}
 	}
+	counts := s.countsAgainstServer(at, from, b.cfg.Self, o.Outcome)
 	// A full server sheds because of its load; shedding with free slots indicates a failure.
-	if o.Outcome != OutcomeShed || s.load() < s.entry.Slots/2 {
+	if counts && (o.Outcome != OutcomeShed || s.load() < s.entry.Slots/2) {
 		s.health.observe(at, o.Outcome)
 		s.lastOutcome = max(s.lastOutcome, at)
 	}
@@ -131,7 +168,7 @@
 		if s := b.servers[a.server]; s != nil {
 			b.recordLateAttempt(now, a, s)
 			obs := Observation{Server: a.server, Outcome: OutcomeLate, Slowdown: float32(now.Sub(a.started).Seconds() / b.route(a.route).expectedTime().Seconds())}
-			b.observe(now, s, obs, true, true)
+			b.observe(now, s, obs, b.cfg.Self, true)
 			b.enqueue(now, s, obs)
 		}
 	}
@@ -184,10 +221,10 @@
 		if s == nil || o.AgeMS < 0 || o.AgeMS > maxObservationAge.Milliseconds() {
 			continue
 		}
-		if o.Outcome == OutcomeOK || o.Outcome == OutcomeFailed || o.Outcome == OutcomeTimeout {
+		if o.Outcome == OutcomeOK || o.Outcome == OutcomeFailed {
 			s.lastUsed = max(s.lastUsed, now.Add(-time.Duration(o.AgeMS)*time.Millisecond))
 		}
-		b.observe(now, s, o, false, r.Zone == b.cfg.Zone)
+		b.observe(now, s, o, from, r.Zone == b.cfg.Zone)
 	}
 }
 
@@ -210,7 +247,7 @@
 	for _, l := range p.loads {
 		if s := b.servers[l.Server]; s != nil {
 			s.remote += l.InFlight
-			if l.InFlight > s.previousLoad {
+			if _, doubtful := s.pathFaults[from]; l.InFlight > s.previousLoad && !doubtful {
 				s.lastUsed = now
 			}
 		}
