Answers without end, early answers to uploads, and ports in use

Causes, each shown by a test that failed first: - A server that sends 1xx answers without end was read until the deadline: 9 MB in a second, since http.Transport leaves their number to a user who asks for them. At most 16 are accepted (TestEndlessResponses, 16 places of an answer; the others were bounded already). - A refusal that says that the request did not run waited for its body: a slow one held the caller until the body's end or the deadline. 20 ms now, then the connection closes (TestRefusalDoesNotWaitForItsBody: 10.2 s before). - After a server's answer to an upload that it had not read, the caller's connection stayed open. net/http cannot read the body's rest after its read was interrupted, ignores that, and took what followed for the next request: 431, or 499 from the deadline that had passed. A body could have smuggled a request.

--- a/pkg/mesh/transport.go
+++ b/pkg/mesh/transport.go
@@ -19,6 +19,7 @@
 // Limits of the transport.
 const (
 	snapshotTimeout  = time.Second            // for fetching a snapshot, and for serving one
+	maxBindRetries   = 20                     // with a port that the system chooses
 	maxSnapshotConns = 64                     // snapshots served concurrently
 	snapshotCacheTTL = 100 * time.Millisecond // in which requests get the same encoded snapshot
 )
@@ -50,16 +51,28 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	udp, err := net.ListenUDP("udp4", addr)
+	udp, tcp, err := bindBoth(addr)
+	for try := 0; err != nil && addr.Port == 0 && try < maxBindRetries; try++ {
+		udp, tcp, err = bindBoth(addr) // the port that the system chose for UDP can be in use for TCP
+	}
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	return &Transport{udp: udp, tcp: tcp, handler: h, log: log, snapshotSlots: make(chan struct{}, maxSnapshotConns)}, nil
+}
+
+// bindBoth binds UDP and TCP to the same address and port.
+func bindBoth(addr *net.UDPAddr) (*net.UDPConn, net.Listener, error) {
+	udp, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, nil, err
+	}
 	tcp, err := net.Listen("tcp4", udp.LocalAddr().String())
 	if err != nil {
 		udp.Close()
-		return nil, errors.Trace(err)
+		return nil, nil, err
 	}
-	return &Transport{udp: udp, tcp: tcp, handler: h, log: log, snapshotSlots: make(chan struct{}, maxSnapshotConns)}, nil
+	return udp, tcp, nil
 }
 
 // Addr returns the bound address.
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -22,8 +22,17 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
 )
 
-// maxDeclinedBody is how many bytes of the body are read if the server declined the request.
-const maxDeclinedBody = 4 << 10
+// How much of the body is read, and for how long, if the server declined the request.
+const (
+	maxDeclinedBody     = 4 << 10
+	declinedBodyTimeout = 20 * time.Millisecond
+)
+
+// maxInformational is the number of 1xx responses that are accepted for one request. http.Transport leaves
+// the limit to its user.
+const maxInformational = 16
+
+var errInformational = errors.New("too many informational responses")
 
 // outcome is the result of one attempt or of the whole request.
 type outcome struct {
@@ -290,6 +299,9 @@
 		GotFirstResponseByte: wire.firstResponseByte,
 		PutIdleConn:          wire.putIdle,
 		Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
+			if wire.informational.Add(1) > maxInformational {
+				return errInformational
+			}
 			x.informational.forward(wire, status, http.Header(h))
 			return nil
 		},
@@ -370,9 +382,7 @@
 		return o
 	}
 	decline := func(end pool.EndState, detail string) *outcome {
-		// Reading a short body to its end keeps the connection reusable.
-		_, _ = io.CopyN(io.Discard, resp.Body, maxDeclinedBody)
-		resp.Body.Close()
+		discardShortBody(resp)
 		o := notRun(result.ServersDeclined, end, "%s", detail).allowRetry()
 		o.declined = true
 		return o
@@ -407,6 +417,18 @@
 	return &outcome{code: result.OK, response: res, end: res.endState(), canRetry: isRetryableStatus(res.status)}
 }
 
+// discardShortBody reads a short body to its end, which keeps the connection reusable. It closes the connection
+// if the end does not arrive soon, so that the caller does not wait for it.
+func discardShortBody(resp *http.Response) {
+	defer resp.Body.Close()
+	if resp.ContentLength > maxDeclinedBody {
+		return
+	}
+	stop := time.AfterFunc(declinedBodyTimeout, func() { resp.Body.Close() })
+	defer stop.Stop()
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDeclinedBody+1)
+}
+
 // untrustedReason returns why a response cannot be trusted, or "" if it can. Only successful responses must be
 // signed.
 func (x *exchange) untrustedReason(resp *http.Response) string {
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -48,6 +48,8 @@
 	streamed int64 // bytes read after the buffered prefix
 	err      error // first error of the caller's stream
 	eof      bool  // the stream was read to its end
+
+	interrupted bool // the read deadline has passed, so the connection cannot be used for another request
 }
 
 // size returns the length of the body: the actual one if the body is buffered completely, otherwise the
@@ -59,6 +61,14 @@
 	return b.x.r.ContentLength
 }
 
+// isRead reports whether the body was read to its end without an interruption, so that the
+// caller's connection can be used for another request.
+func (b *requestBody) isRead() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.complete || b.eof && !b.interrupted
+}
+
 func (b *requestBody) releaseBuffer() {
 	b.x.p.buffers.release(b.reserved)
 	b.reserved = 0
@@ -229,6 +239,7 @@
 func (b *requestBody) interruptRead() {
 	b.mu.Lock()
 	unread := !b.complete && !b.eof
+	b.interrupted = b.interrupted || unread
 	b.mu.Unlock()
 	if unread {
 		_ = b.x.ctl.SetReadDeadline(time.Now())
--- /dev/null
+++ b/pkg/proxy/endless_test.go
@@ -0,0 +1,111 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+)
+
+// endlessServer answers requests to /menu/sound at once. To others it sends a start and then the same
+// bytes again and again until the proxy closes the connection.
+type endlessServer struct {
+	*scriptedServer
+	sent   atomic.Int64 // bytes that the connections accepted
+	closed chan struct{}
+}
+
+func startEndlessServer(t *testing.T, start, repeat string, pause time.Duration) *endlessServer {
+	s := &endlessServer{closed: make(chan struct{}, 64)}
+	s.scriptedServer = startScriptedServer(t, func(c net.Conn, _ int, r *http.Request) bool {
+		if strings.HasPrefix(r.URL.Path, "/menu/sound") {
+			_, _ = c.Write([]byte(plainOK))
+			return true
+		}
+		next := []byte(start)
+		for {
+			n, err := c.Write(next)
+			s.sent.Add(int64(n))
+			if err != nil {
+				s.closed <- struct{}{}
+				return false
+			}
+			next = []byte(repeat)
+			time.Sleep(pause)
+		}
+	})
+	return s
+}
+
+// Guards against a server whose answer never ends, in any part of it: the caller gets a failure that says
+// nothing false (or the answer, if it is complete), the connection is closed, and what is read stays
+// bounded where nothing can be forwarded.
+func TestEndlessResponses(t *testing.T) {
+	t.Parallel()
+	const maxHead = 1 << 20 // well above Limits.MaxHeaderBytes and the socket buffers
+	filler := strings.Repeat("a", 4<<10)
+	cases := map[string]struct {
+		start, repeat string
+		pause         time.Duration
+		limit         int64 // bytes that the server may send; 0 for no limit within the deadline
+		complete      bool  // the caller gets the whole answer
+	}{
+		"status line":         {"HTTP/1.1 200 ", filler, 0, maxHead, false},
+		"no answer":           {filler, filler, 0, maxHead, false},
+		"header line":         {"HTTP/1.1 200 OK\r\nX-A: ", filler, 0, maxHead, false},
+		"header lines":        {"HTTP/1.1 200 OK\r\n", "X-A: " + filler + "\r\n", 0, maxHead, false},
+		"slow header":         {"HTTP/1.1 200 OK\r\nX-A: ", "a", 50 * time.Millisecond, maxHead, false},
+		"1xx answers":         {"HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n", 0, maxHead, false},
+		"chunk size":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0", 0, maxHead, false},
+		"chunk extension":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", filler, 0, maxHead, false},
+		"trailer":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-A: ", filler, 0, maxHead, false},
+		"small chunks":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", time.Millisecond, 0, false},
+		"chunks":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + filler + "\r\n", time.Millisecond, 0, false},
+		"slow body":           {"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n", "a", 50 * time.Millisecond, maxHead, false},
+		"body without length": {"HTTP/1.1 200 OK\r\n\r\n", filler, time.Millisecond, 0, false},
+		"beyond its length":   {plainOK, filler, 0, 0, true},
+		"declined, slow body": {"HTTP/1.1 503 Full\r\nX-Fulmar-Shed: 1\r\nContent-Length: 1000\r\n\r\n", "a", 50 * time.Millisecond, maxHead, false},
+		"declined, endless":   {"HTTP/1.1 503 Full\r\nX-Fulmar-Shed: 1\r\n\r\n", filler, 0, 0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startEndlessServer(t, c.start, c.repeat, c.pause)
+			tp := newTestProxy(t, testProxyOptions{addrs: []string{s.ln.Addr().String()}})
+			tp.table.service.CloseDelimited = true
+			done := make(chan callerResponse, 1)
+			go func() { done <- tp.get("/tight") }()
+			require.Equal(t, 200, tp.get("/menu/sound").status, "other requests are served meanwhile")
+			resp := <-done
+			switch {
+			case c.complete:
+				require.NoError(t, resp.err)
+				require.Equal(t, "ok", resp.body)
+			case strings.HasPrefix(name, "declined"):
+				require.Equal(t, result.ServersDeclined, resp.code())
+			case resp.err == nil:
+				require.Equal(t, string(result.OutcomeUnknown), resp.header.Get("Fulmar-Outcome"), resp.body)
+			}
+			<-s.closed
+			if c.limit > 0 {
+				require.Less(t, s.sent.Load(), c.limit+4<<20, "what the sockets buffer included")
+			}
+			eventually(t, "slot freed", tp.engine.idle)
+		})
+	}
+}
+
+// Guards against a caller that waits for the body of a refusal: the server's statement that it did not run
+// the request is complete with the head.
+func TestRefusalDoesNotWaitForItsBody(t *testing.T) {
+	s := startEndlessServer(t, "HTTP/1.1 503 Full\r\nX-Fulmar-Shed: 1\r\nContent-Length: 1000\r\n\r\n", "a", 10*time.Millisecond)
+	tp := newTestProxy(t, testProxyOptions{addrs: []string{s.ln.Addr().String()}})
+	require.Equal(t, result.ServersDeclined, tp.get("/menu").code(), "within 20 s, of which the body would take half")
+	require.Less(t, s.sent.Load(), int64(600))
+}
--- a/pkg/proxy/response.go
+++ b/pkg/proxy/response.go
@@ -198,6 +198,11 @@
 		delete(h, "Content-Length")
 	}
 	x.setConnectionHeader(h)
+	if !x.body.isRead() {
+		// net/http would take what follows of the body for the next request: it does not notice
+		// that it could not read the body to its end.
+		h["Connection"] = []string{"close"}
+	}
 	x.status = res.status
 	x.setWriteDeadline()
 	x.w.WriteHeader(res.status)
--- a/pkg/proxy/serverconn.go
+++ b/pkg/proxy/serverconn.go
@@ -30,6 +30,7 @@
 	conns         atomic.Int32 // connections chosen by the transport; more than one means a replay
 	strayResponse atomic.Bool  // the first byte of the response was read before the first byte of the request was written
 	ended         atomic.Bool  // EOF or an error was read after the first byte was written
+	informational atomic.Int32 // 1xx responses received
 
 	mu          sync.Mutex
 	sendStarted bool  // the write of the first byte was permitted, and the kernel did not refuse it
--- a/pkg/proxy/wire_test.go
+++ b/pkg/proxy/wire_test.go
@@ -396,13 +396,68 @@
 	for range 20 {
 		resp := tp.post("/book", strings.Repeat("a", 1<<20))
 		if resp.err == nil { // the client may find the connection closed first
-			require.Contains(t, []int{401, 502}, resp.status)
+			require.Contains(t, []int{401, 502}, resp.status, "%s %v", resp.body, resp.header)
 			require.NotEqual(t, "not-run", resp.header.Get("Fulmar-Outcome"), resp.body)
 		}
 	}
 	eventually(t, "slots freed", tp.engine.idle)
 }
 
+// Guards against the rest of an upload that is taken for the next request, after a server responded
+// before it read the upload: the body contains a whole request, which must reach no server.
+func TestUnreadUploadIsNoRequest(t *testing.T) {
+	hidden := "POST /book/hidden HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+	body := strings.Repeat(hidden, 1<<20/len(hidden))
+	s := startEarlyServer(t)
+	tp := newTestProxy(t, testProxyOptions{addrs: []string{s.ln.Addr().String()}})
+	for range 20 {
+		c, err := net.Dial("tcp", tp.addr)
+		require.NoError(t, err)
+		rd := bufio.NewReader(c)
+		go func() {
+			_, _ = fmt.Fprintf(c, "POST /book/upload HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}()
+		resp, err := http.ReadResponse(rd, nil)
+		if err == nil {
+			require.Equal(t, 401, resp.StatusCode)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_, err = http.ReadResponse(rd, nil)
+			require.Error(t, err, "a second response to one request")
+		}
+		c.Close()
+	}
+	require.Zero(t, s.count("/book/hidden"))
+}
+
+// startEarlyServer starts a server that responds to the head of a request and does not read its body.
+func startEarlyServer(t *testing.T) *scriptedServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	s := &scriptedServer{ln: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				s.mu.Lock()
+				s.paths = append(s.paths, r.URL.Path)
+				s.mu.Unlock()
+				_, _ = c.Write([]byte("HTTP/1.1 401 Unauthorized\r\nContent-Length: 2\r\n\r\nno"))
+				time.Sleep(20 * time.Millisecond) // the proxy finds the response before the connection's end
+			}()
+		}
+	}()
+	return s
+}
+
 type flushWriter struct{ w http.ResponseWriter }
 
 func (f flushWriter) Write(p []byte) (int, error) {
