--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
@@ -14,8 +13,6 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/follower"
 	"github.com/fulmarbeam/fulmarbeam/pkg/mesh"
-	"github.com/fulmarbeam/fulmarbeam/pkg/proxy"
-	"github.com/fulmarbeam/fulmarbeam/pkg/settings"
 )
 
 // waitTimeout bounds waits for a condition; no assertion depends on its value.
@@ -55,15 +52,7 @@
 // Guards against messages from another zone that are not relayed to this zone, and against messages that
 // are relayed repeatedly.
 func TestMessagesFromOtherZonesAreRelayedOnce(t *testing.T) {
-	s := settings.DefaultGateway()
-	s.VM = settings.VM{ID: "vm-a", Region: "addis", Zone: "addis-a"}
-	s.Zones = map[string]string{"addis-a": "addis", "addis-b": "addis"}
-	s.Listen = settings.GatewayListen{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Links: "127.0.0.1:0"}
-	dialect := proxy.DefaultDialect()
-	g, err := New(Config{Settings: s, Dialect: &dialect, ReadyPath: "/ready", Logger: logr.Discard(), Metrics: metrics.NewSet()})
-	require.NoError(t, err)
-	defer g.Close()
-
+	g := newTestGateway(t)
 	neighbour, sender := newRecorder(t, "vm-n", "addis-a"), newRecorder(t, "vm-b", "addis-b")
 	from := netip.MustParseAddrPort(sender.Addr)
 	for _, other := range []*recorder{neighbour, sender} {
--- a/pkg/mesh/compress.go
+++ b/pkg/mesh/compress.go
@@ -76,7 +76,9 @@
 	return frame, nil
 }
 
-func decodeDatagram(data []byte) (fleet.Message, error) {
+// DecodeDatagram decodes a received datagram. It returns an error for bytes that are no message, and for
+// a compressed one that contains more than maxFrameBytes.
+func DecodeDatagram(data []byte) (fleet.Message, error) {
 	m, err := wire.Decode(data)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/pkg/mesh/relay_test.go
+++ b/pkg/mesh/relay_test.go
@@ -186,7 +186,7 @@
 	for _, b := range q.Flush(q.Due()) {
 		frame, err := encodeDatagram(&Batch{From: "vm1", Reports: b})
 		require.NoError(t, err)
-		m, err := decodeDatagram(frame)
+		m, err := DecodeDatagram(frame)
 		require.NoError(t, err)
 		count += len(m.(*Batch).Reports)
 	}
@@ -200,16 +200,16 @@
 	require.Less(t, len(bomb), maxDatagram)
 	frame, err := wire.Encode(&Compressed{bomb})
 	require.NoError(t, err)
-	_, err = decodeDatagram(frame)
+	_, err = DecodeDatagram(frame)
 	require.ErrorContains(t, err, "more than")
 	nested, err := encodeDatagram(&Compressed{make([]byte, compressFrom)})
 	require.NoError(t, err)
-	_, err = decodeDatagram(nested)
+	_, err = DecodeDatagram(nested)
 	require.ErrorContains(t, err, "compressed message in")
 	large, err := encodeDatagram(&Hello{Self: Member{Addr: strings.Repeat("x", compressFrom)}})
 	require.NoError(t, err)
 	require.Less(t, len(large), compressFrom/2)
-	_, err = decodeDatagram(large[:len(large)-20])
+	_, err = DecodeDatagram(large[:len(large)-20])
 	require.Error(t, err)
 }
 
--- a/pkg/mesh/transport.go
+++ b/pkg/mesh/transport.go
@@ -90,7 +90,7 @@
 			}
 			continue // ICMP error caused by an earlier datagram
 		}
-		m, err := decodeDatagram(buf[:n])
+		m, err := DecodeDatagram(buf[:n])
 		if err != nil {
 			t.log.V(1).Info("datagram cannot be decoded", "from", from.String(), "error", err.Error())
 			continue
