--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -39,7 +39,7 @@
 	// seedHeadStart is how much later than the seeds other VMs read the store first, and
 	// peerHeadStart how much later still if they have a peer, which sends a snapshot once it
 	// has one.
-	seedHeadStart = 250 * time.Millisecond
+	seedHeadStart = 500 * time.Millisecond
 	peerHeadStart = time.Second
 	// retryDelayFirst is the delay after a failed read for the VMs that are first to take
 	// over, which includes a VM without peers.
