Test of second copies of an answer, in all framings

A copy sent at once, before or after the next request, behind answers with a length, chunks, a trailer, 204, 304, HEAD, 103, a failure and a length that is too short: no caller gets it (30 cases of 20 requests, three runs).

--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -228,7 +228,7 @@
 	return vm.lastHeard != 0 && now.Sub(vm.lastHeard) <= silenceTimeout
 }
 
-// RecordHeard records a datagram from a VM, and reports whether the VM is a member.
+// RecordHeard records a message from a VM, direct or relayed, and reports whether the VM is a member.
 func (m *Members) RecordHeard(now fleet.Time, id fleet.VMID) bool {
 	vm := m.members[id]
 	if vm == nil {
--- a/pkg/proxy/wire_test.go
+++ b/pkg/proxy/wire_test.go
@@ -160,6 +160,53 @@
 	}
 }
 
+// Guards against a second copy of an answer, sent at once or late, that the next caller on the connection
+// gets: after answers of every framing. A copy that arrives after the next request was sent is only known by
+// the echoed ID.
+func TestSecondCopyReachesNoCaller(t *testing.T) {
+	const echo = "X-Request-Id"
+	cases := map[string]struct{ method, response string }{
+		"length":         {"GET", plainOK},
+		"empty":          {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+		"no content":     {"GET", "HTTP/1.1 204 No Content\r\n\r\n"},
+		"not modified":   {"GET", "HTTP/1.1 304 Not Modified\r\n\r\n"},
+		"head":           {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"},
+		"chunked":        {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		"trailer":        {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n2\r\nok\r\n0\r\nX-T: v\r\n\r\n"},
+		"early hints":    {"GET", "HTTP/1.1 103 Early Hints\r\n\r\n" + plainOK},
+		"server failure": {"POST", "HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nno"},
+		"length short":   {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nok"},
+	}
+	for name, c := range cases {
+		for _, pause := range []time.Duration{0, time.Millisecond, 3 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " ", pause), func(t *testing.T) {
+				t.Parallel()
+				s := startScriptedServer(t, func(conn net.Conn, _ int, r *http.Request) bool {
+					id := echo + ": " + r.Header.Get(echo) + "\r\n"
+					last := strings.LastIndex(c.response, "HTTP/1.1 ")
+					line := last + strings.Index(c.response[last:], "\r\n") + 2
+					response := c.response[:line] + id + c.response[line:]
+					stray := "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 5\r\n\r\nstray"
+					if pause == 0 {
+						_, _ = conn.Write([]byte(response + stray))
+						return true
+					}
+					_, _ = conn.Write([]byte(response))
+					time.Sleep(pause)
+					_, _ = conn.Write([]byte(stray))
+					return true
+				})
+				tp := newTestProxy(t, testProxyOptions{addrs: []string{s.ln.Addr().String()}, echo: echo})
+				for range 20 {
+					resp := tp.do(context.Background(), c.method, "/menu", nil)
+					require.NotEqual(t, "stray", resp.body)
+					time.Sleep(pause / 2)
+				}
+			})
+		}
+	}
+}
+
 // sendRaw sends bytes to the proxy and returns everything it receives until the connection is closed.
 func (tp *testProxy) sendRaw(parts ...string) string {
 	c, err := net.Dial("tcp", tp.addr)
