--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -456,7 +456,7 @@
 }
 
 // Guards against a service below its floor: while it fails, suspects with two long requests of other VMs get
-// nothing for 2 s, although they may have recovered (FLOOR of the grown Division: 6 of 13 sound servers).
+// nothing for 2 s, although they may have recovered (seen on the bench: 6 of 13 sound servers).
 func TestBusySuspectsAreUsedWhileServiceFails(t *testing.T) {
 	ids := make([]string, 12)
 	for i := range ids {
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -45,7 +45,7 @@
 	spreadMaxLoad      = 1               // requests in flight at an idle server: a single one may be a long request
 	unknownMaxIdle     = 3 * time.Second // of a server whose risk has returned to the baseline, or that was never used
 
-	// While a service fails, at least floorShare of its servers must get requests in any 2 s, and a
+	// While a service fails, most of its servers must get requests in any 2 s (its capacity floor), and a
 	// server that failed counts again 2 s later, whatever its risk. The idle time after which any
 	// server is used, and the longest delay by which the VMs of a zone differ.
 	floorMaxIdleIdempotent = 1200 * time.Millisecond
