--- a/pkg/proxy/wire_test.go
+++ b/pkg/proxy/wire_test.go
@@ -483,6 +483,32 @@
 	require.Zero(t, s.count("/book/hidden"))
 }
 
+// The same with a caller that sends the end of its body after it has received the response: the end is a whole
+// request.
+func TestLateEndOfUploadIsNoRequest(t *testing.T) {
+	hidden := "POST /book/hidden HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+	start := strings.Repeat("x", DefaultLimits().MaxReplayableBody+5000)
+	s := startEarlyServer(t)
+	tp := newTestProxy(t, testProxyOptions{addrs: []string{s.ln.Addr().String()}})
+	for range 5 {
+		c, err := net.Dial("tcp", tp.addr)
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = fmt.Fprintf(c, "POST /book/upload HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(start)+len(hidden), start)
+		require.NoError(t, err)
+		rd := bufio.NewReader(c)
+		resp, err := http.ReadResponse(rd, nil)
+		require.NoError(t, err)
+		require.Equal(t, 401, resp.StatusCode)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_, _ = c.Write([]byte(hidden))
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(waitTimeout)))
+		_, err = http.ReadResponse(rd, nil)
+		require.Error(t, err, "a second response to one request")
+	}
+	require.Zero(t, s.count("/book/hidden"))
+}
+
 // startEarlyServer starts a server that responds to the head of a request and does not read its body.
 func startEarlyServer(t *testing.T) *scriptedServer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
