A clean stop reports no error when net/http closes the listener again

Cause: Shutdown closed the listener, and http.Server closed it again if its accept loop had not ended, and returned that error; the process would have ended with a failure. Change: the second close returns the result of the first.

--- a/pkg/proxy/framing.go
+++ b/pkg/proxy/framing.go
@@ -44,6 +44,9 @@
 	stopping atomic.Bool
 	stopOnce sync.Once
 	stopped  chan struct{} // closed when no further connection is accepted
+
+	closeOnce sync.Once
+	closeErr  error
 }
 
 // Accept returns the next connection, wrapped with the framing check.
--- a/pkg/proxy/shutdown.go
+++ b/pkg/proxy/shutdown.go
@@ -115,11 +115,18 @@
 
 func (l *framingListener) finishStop() {
 	l.stopOnce.Do(func() {
-		l.Listener.Close()
+		_ = l.Close() // the listener accepts nothing more either way
 		close(l.stopped)
 	})
 }
 
+// Close closes the listener. It may be called again: http.Server closes a listener that stop has closed,
+// and would return the error.
+func (l *framingListener) Close() error {
+	l.closeOnce.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
+}
+
 // accept accepts a connection. While the listener is being stopped it waits backlogTimeout for one.
 func (l *framingListener) accept() (net.Conn, error) {
 	for {
--- a/pkg/proxy/shutdown_test.go
+++ b/pkg/proxy/shutdown_test.go
@@ -172,3 +172,12 @@
 		all.Wait()
 	}
 }
+
+// Guards against a clean stop that reports an error: net/http closes the listener again unless its accept
+// loop has already ended.
+func TestListenerMayBeClosedTwice(t *testing.T) {
+	sp := newShutdownProxy(t, 0)
+	l := sp.proxy.WrapListener(sp.ln)
+	require.NoError(t, l.Close())
+	require.NoError(t, l.Close())
+}
