Observe what servers say about themselves: rate limit, leaving, pause

Cause: no reader of the headers existed, so that neither logs nor metrics could tell the hypotheses on exceeded limits apart. The dialect names the headers, the proxy reports them with the attempt whose response they came with (after the check that it is the request's own), the balancer keeps them for the server's incarnation and logs changes. Decisions are as before.

--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -50,6 +50,7 @@
 	connectFailures   int                       // consecutive
 	pathFaults        map[fleet.VMID]fleet.Time // last path outcome of each VM with a doubtful path to the server
 	staggerShare      float64                   // in [0, 1), differs between VMs
+	notices           notices
 }
 
 // attempt is a request in flight at a server.
@@ -62,7 +63,8 @@
 	final   bool // a failure is not retried
 	late    bool
 
-	usedBefore fleet.Time // the server's lastUsed before the attempt
+	incarnation int64      // of the server
+	usedBefore  fleet.Time // the server's lastUsed before the attempt
 }
 
 // service is the state of one service.
@@ -99,6 +101,8 @@
 	coveredZones map[fleet.Zone]bool // other zones whose servers this zone's VMs keep in use
 	vms          int                 // known VMs of the fleet
 
+	limitedStarts int // attempts of this VM at servers that named a rate limit
+
 	zone, region reportQueue
 	events       []fleet.Event
 }
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -290,7 +290,11 @@
 
 func (b *Balancer) startAttempt(now fleet.Time, w pool.Work, s *server) {
 	s.local++
-	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, request: w.RequestID, started: now, final: !w.Idempotent || w.MaxRetries < 1, usedBefore: s.lastUsed}
+	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, request: w.RequestID, started: now, final: !w.Idempotent || w.MaxRetries < 1,
+		incarnation: s.entry.Incarnation, usedBefore: s.lastUsed}
+	if s.notices.limit.named {
+		b.limitedStarts++
+	}
 	s.lastUsed = now
 	b.zone.schedule(now)
 }
--- a/pkg/balance/observe.go
+++ b/pkg/balance/observe.go
@@ -54,6 +54,9 @@
 		return
 	}
 	s.local = max(0, s.local-1)
+	if s.entry.Incarnation == a.incarnation && endsLimit(e) {
+		b.endLimit(e.RespondedAt, s)
+	}
 	o := outcomeOf(e.State)
 	if o == 0 || o == OutcomeTimeout && !a.late {
 		return // a short deadline is no evidence against the server
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -44,6 +44,11 @@
 	return d
 }
 
+// HandleNotice records what a response says about its server.
+func (g *Gateway) HandleNotice(id pool.WorkID, n pool.ServerNotice) {
+	g.update(func(now fleet.Time) { g.balance.HandleNotice(now, id, n) })
+}
+
 // Release reports the result of the attempt.
 func (g *Gateway) Release(id pool.WorkID, end pool.End) {
 	g.update(func(now fleet.Time) { g.balance.End(now, id, end) })
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -36,6 +36,10 @@
 	gauge("fulmarbeam_fleet_vms", func(fleet.Time) float64 { return float64(g.members.FleetSize()) })
 	gauge(`fulmarbeam_servers{belief="healthy"}`, func(now fleet.Time) float64 { h, _ := g.balance.HealthCounts(now); return float64(h) })
 	gauge(`fulmarbeam_servers{belief="suspect"}`, func(now fleet.Time) float64 { _, s := g.balance.HealthCounts(now); return float64(s) })
+	gauge(`fulmarbeam_server_notices{notice="rate_limit"}`, func(now fleet.Time) float64 { n, _, _ := g.balance.NoticeCounts(now); return float64(n) })
+	gauge(`fulmarbeam_server_notices{notice="leaving"}`, func(now fleet.Time) float64 { _, n, _ := g.balance.NoticeCounts(now); return float64(n) })
+	gauge(`fulmarbeam_server_notices{notice="pause"}`, func(now fleet.Time) float64 { _, _, n := g.balance.NoticeCounts(now); return float64(n) })
+	gauge("fulmarbeam_limited_server_attempts_total", func(fleet.Time) float64 { return float64(g.balance.LimitedStarts()) })
 }
 
 // NewStoreObserver returns an observer for calls to the store that counts them and logs those that failed.
--- a/pkg/node/engine.go
+++ b/pkg/node/engine.go
@@ -112,6 +112,9 @@
 	return d
 }
 
+// HandleNotice does nothing: a shutdown is reported with the attempt's end, and the default dialect has no other notices.
+func (n *Node) HandleNotice(pool.WorkID, pool.ServerNotice) {}
+
 // Release reports the end of an attempt and frees its slot.
 func (n *Node) Release(id pool.WorkID, end pool.End) {
 	if n.cfg.Observer != nil {
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -74,4 +74,15 @@
 	Duration    time.Duration // time at the server
 	Bytes       int           // number of response body bytes read
 	RequestSent bool          // part of the request may have reached the server
+	RespondedAt fleet.Time    // when the header of the response was read; 0 without one
+	Notice      ServerNotice  // in the header of the response
+}
+
+// ServerNotice is what a server says about itself in the header of a response.
+type ServerNotice struct {
+	HasRateLimit     bool
+	RateLimit        float64       // requests per second that the server accepts from all VMs together, if HasRateLimit
+	InvalidRateLimit bool          // the server names a limit that cannot be read; an earlier one remains in effect
+	Leaving          bool          // the server is shutting down
+	Pause            time.Duration // how long the server wants no request from this VM; 0 for no such wish
 }
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -204,6 +204,7 @@
 // response is still to be streamed: then outcome.close frees it.
 func (x *exchange) attempt(base context.Context, d pool.Decision) *outcome {
 	start := x.p.engine.Now()
+	x.respondedAt, x.notice = 0, pool.ServerNotice{}
 	ctx, span := x.p.tracer.Start(base, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 	ctx, cancel := context.WithTimeout(ctx, x.remaining())
 	rt, releaseTransport := x.p.transports.get(d.Server)
@@ -218,7 +219,8 @@
 		cancel()
 		x.body.interruptRead()
 		releaseTransport()
-		x.p.engine.Release(d.Work, pool.End{State: out.end, Duration: x.p.engine.Now().Sub(start), Bytes: out.bufferedBytes(), RequestSent: !out.unsent})
+		x.p.engine.Release(d.Work, pool.End{State: out.end, Duration: x.p.engine.Now().Sub(start), Bytes: out.bufferedBytes(), RequestSent: !out.unsent,
+			RespondedAt: x.respondedAt, Notice: x.notice})
 		x.p.metrics.attempt(x.route.Route.Service, out.end)
 		if span.IsRecording() {
 			span.SetAttributes(attribute.String("fulmar.server", string(d.Server.ID)), attribute.String("fulmar.end", endLabel(out.end)))
@@ -232,7 +234,7 @@
 		}
 	}()
 	out.end = pool.EndAbandoned
-	*out = *x.roundTrip(ctx, rt, d.Server)
+	*out = *x.roundTrip(ctx, rt, d)
 	out.close = finish
 	return out
 }
@@ -240,16 +242,16 @@
 // roundTrip sends the request and classifies the result. If a reused connection turns out to be dead
 // before the first byte is written, the attempt continues on another one, because the server received
 // nothing. All connections to the server may be dead, so more than Limits.MaxConnsPerServer are tried.
-func (x *exchange) roundTrip(ctx context.Context, rt *http.Transport, s fleet.Server) *outcome {
+func (x *exchange) roundTrip(ctx context.Context, rt *http.Transport, d pool.Decision) *outcome {
 	for tries := 0; ; tries++ {
 		sentID := x.id
 		if !x.p.dialect.KeepRequestID {
 			sentID = x.p.ids.attemptID(x.id)
 		}
 		wire := &wireAttempt{checkDispatch: x.checkDispatch}
-		resp, err := rt.RoundTrip(x.newServerRequest(ctx, wire, s, sentID))
+		resp, err := rt.RoundTrip(x.newServerRequest(ctx, wire, d.Server, sentID))
 		if err == nil {
-			return x.classifyResponse(ctx, wire, resp, sentID)
+			return x.classifyResponse(ctx, wire, d.Work, resp, sentID)
 		}
 		started := wire.seal()
 		refusal := wire.refusal()
@@ -375,7 +377,7 @@
 
 // classifyResponse checks the response header and buffers the start of the body, or all of it if its
 // length is known and small.
-func (x *exchange) classifyResponse(ctx context.Context, wire *wireAttempt, resp *http.Response, sentID string) *outcome {
+func (x *exchange) classifyResponse(ctx context.Context, wire *wireAttempt, id pool.WorkID, resp *http.Response, sentID string) *outcome {
 	drop := func(o *outcome) *outcome {
 		wire.closeUntrusted()
 		resp.Body.Close()
@@ -398,6 +400,7 @@
 			return drop(x.crossedResponse("the echoed request id differs"))
 		}
 	}
+	x.reportNotice(id, resp)
 	switch {
 	case x.p.dialect.shed(resp):
 		return decline(pool.EndShed, "the server shed the request")
--- a/pkg/proxy/dialect.go
+++ b/pkg/proxy/dialect.go
@@ -16,7 +16,8 @@
 	Declined   string // in a 503: the server declined for another reason
 	Draining   string // in a response: the server is shutting down
 	Signature  string // in a response: signature that proves its origin
-	RetryAfter string // in a refusal: delay before a retry, in fractional seconds
+	RetryAfter string // in a 503, of this proxy or of a server: delay before the next request, in fractional seconds
+	RateLimit  string // in a response: requests per second that the server accepts from all VMs together
 
 	AcceptAnyShedValue    bool // any value of Shed in a response with status 400 or above means that the request did not run
 	KeepRequestID         bool // servers receive the caller's request ID unchanged
--- a/pkg/proxy/engine.go
+++ b/pkg/proxy/engine.go
@@ -32,6 +32,9 @@
 	// Acquire waits for a slot on a server. A refusal sets the code of the decision. If ctx ends
 	// first, the work is withdrawn and the code is CallerGone.
 	Acquire(ctx context.Context, work pool.Work) pool.Decision
+	// HandleNotice reports what the header of the attempt's response says about the server, before the
+	// response is forwarded. It is called before Release, and only for a header that says something.
+	HandleNotice(id pool.WorkID, notice pool.ServerNotice)
 	// Release reports the result of the attempt and frees the slot.
 	Release(id pool.WorkID, end pool.End)
 	// NewWorkID returns a new work ID.
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/document"
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/keys"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
 )
 
@@ -55,6 +56,10 @@
 
 	retryAfter time.Duration // delay suggested with a refusal; 0 means the default
 
+	// Of the latest attempt; zero without a response.
+	respondedAt fleet.Time // when the header of the response was read
+	notice      pool.ServerNotice
+
 	attempts []attemptRecord // for the log
 	revision uint64          // of the document that the request was routed with
 	timeout  time.Duration   // from the routing of the request to its deadline
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -43,6 +43,7 @@
 	budget          int
 	works           []pool.Work
 	ends            []pool.End
+	notices         []pool.ServerNotice
 	slotsInUse      int
 	finished        []keys.FinishResult
 	storedResponses []*keys.StoredResponse
@@ -93,6 +94,12 @@
 	return pool.Decision{Code: result.NoServer}
 }
 
+func (e *fakeEngine) HandleNotice(_ pool.WorkID, n pool.ServerNotice) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.notices = append(e.notices, n)
+}
+
 func (e *fakeEngine) Release(_ pool.WorkID, end pool.End) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/proxy/response.go
+++ b/pkg/proxy/response.go
@@ -39,7 +39,7 @@
 
 func newResponse(x *exchange, resp *http.Response) *response {
 	res := &response{status: resp.StatusCode, header: endToEndHeaders(resp.Header), length: resp.ContentLength, resp: resp}
-	res.draining = x.p.dialect.Draining != "" && resp.Header.Get(x.p.dialect.Draining) != ""
+	res.draining = x.p.dialect.draining(resp)
 	res.noBody = x.r.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	if echo := x.service.EchoHeader; echo != "" {
 		res.header.Set(echo, x.id) // replaces the attempt's ID
