A test that fails: servers get more than the rate limit that they name

The simulated fleet has servers that name a limit in their responses for a while, and reports by how many requests the worst window of any server exceeds a bound (the users': 1.5 times the limit and 5, in 4 s).

--- a/pkg/fleetsim/report.go
+++ b/pkg/fleetsim/report.go
@@ -26,6 +26,12 @@
 	// window. It is at most 0 if the budget was kept.
 	OverBudget float64 `json:"over_budget"`
 
+	// OverLimit is by how many requests the worst window of any server exceeded the scenario's bound on requests
+	// at servers with a rate limit. It is at most 0 if the bound was kept. LimitUse is the requests at
+	// these servers over what their limits allow.
+	OverLimit float64 `json:"over_limit"`
+	LimitUse  float64 `json:"limit_use"`
+
 	Ratios Ratios `json:"ratios"`
 
 	offeredWeight, inTimeWeight float64
--- a/pkg/fleetsim/scenario.go
+++ b/pkg/fleetsim/scenario.go
@@ -31,6 +31,7 @@
 	Period        document.Duration `json:"period,omitempty"` // of the rate's oscillation
 	Failing       Failing           `json:"failing"`
 	Restart       *Restart          `json:"restart,omitempty"`
+	Limits        *Limits           `json:"limits,omitempty"`
 	Prices        Prices            `json:"prices"`
 	Budget        Budget            `json:"budget"`
 	Delays        Delays            `json:"delays"`
@@ -152,6 +153,8 @@
 		return errors.NotValidf("swing: below 1, with a period")
 	case s.Budget.Window <= 0:
 		return errors.NotValidf("budget.window must be above 0")
+	case s.Limits != nil:
+		return s.Limits.check()
 	}
 	return nil
 }
--- a/pkg/fleetsim/server.go
+++ b/pkg/fleetsim/server.go
@@ -14,6 +14,7 @@
 	busy    int // occupied slots
 	queue   []*attempt
 	failing bool
+	limit   *limitedServer // nil for a server that names none
 }
 
 // attempt is one try of a request at a server.
@@ -33,6 +34,7 @@
 // arrive handles an attempt that has reached its server.
 func (sim *simulation) arrive(a *attempt) {
 	s := a.server
+	s.recordArrival(sim.now)
 	switch {
 	case s.failing && sim.rand.Float64() < sim.scenario.Failing.FailureRatio:
 		sim.schedule(failureLatency, func() { sim.returnOutcome(a, pool.EndFailed) })
--- a/pkg/fleetsim/simulation.go
+++ b/pkg/fleetsim/simulation.go
@@ -78,6 +78,7 @@
 		sim.now = e.at
 		e.run()
 	}
+	sim.report.OverLimit, sim.report.LimitUse = sim.overLimit(), sim.limitUse()
 	sim.report.finish(time.Duration(s.Duration), s.Budget)
 	return &sim.report, nil
 }
@@ -101,6 +102,7 @@
 			sim.vms = append(sim.vms, &vm{id: vmID(z.Name, n), zone: z})
 		}
 	}
+	sim.drawLimits()
 	for _, v := range sim.vms {
 		sim.start(v)
 	}
--- a/pkg/fleetsim/vm.go
+++ b/pkg/fleetsim/vm.go
@@ -172,7 +172,7 @@
 	sim.schedule(sim.delay(v.zone, zone), func() { sim.arrive(a) })
 	sim.schedule(left, func() {
 		if v.up && v.processCount == process {
-			sim.endAttempt(a, pool.EndTimeout)
+			sim.endAttempt(a, pool.EndTimeout, nil)
 		}
 	})
 }
@@ -180,21 +180,28 @@
 // returnOutcome reports the outcome to the VM after the network delay.
 func (sim *simulation) returnOutcome(a *attempt, state pool.EndState) {
 	process := a.vm.processCount
+	notice := a.server.notice(sim.now)
 	sim.schedule(sim.delay(sim.zones[a.server.entry.Zone], a.vm.zone), func() {
 		if a.vm.up && a.vm.processCount == process {
-			sim.endAttempt(a, state)
+			sim.endAttempt(a, state, &notice)
 		}
 	})
 }
 
-// endAttempt records the outcome at the VM and retries the request if that is allowed.
-func (sim *simulation) endAttempt(a *attempt, state pool.EndState) {
+// endAttempt records the outcome at the VM and retries the request if that is allowed. Without a response,
+// notice is nil.
+func (sim *simulation) endAttempt(a *attempt, state pool.EndState, notice *pool.ServerNotice) {
 	if a.ended {
 		return
 	}
 	a.ended = true
 	v, r := a.vm, a.request
-	v.balance.End(sim.processTime(v), a.id, pool.End{State: state, Duration: sim.now.Sub(a.sent), Bytes: int(r.route.KB / 2 * 1024), RequestSent: true})
+	end := pool.End{State: state, Duration: sim.now.Sub(a.sent), Bytes: int(r.route.KB / 2 * 1024), RequestSent: true}
+	if notice != nil {
+		end.RespondedAt, end.Notice = sim.processTime(v), *notice
+		v.balance.HandleNotice(end.RespondedAt, a.id, *notice)
+	}
+	v.balance.End(sim.processTime(v), a.id, end)
 	sim.sendReports(v)
 	mayRetry := r.route.Idempotent || state == pool.EndShed
 	switch {
