Rate limits of servers are shared by the VMs of their region

Cause: no VM acted on the limit.

Each VM now keeps a token bucket for such a server, charged with its own attempts and with those that the region's VMs report (cumulative counts, so that a lost report is made up for by the next); debts are paid. In a large zone only 12 VMs use a server with a limit: the others would send to it in the moment in which it allows a request. Other regions leave it alone. A request waits for a limit while that leaves it within its objective; otherwise it goes elsewhere or is refused with the time to come back. Only a served response without the header ends a limit.

Ruled out: the limit applied by each VM alone, and split evenly (a VM with little traffic would leave its part unused).

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -416,7 +416,7 @@
 		tb.ApplyDigest(tb.now, Digest{Zone: "hawassa-a", Services: []ServiceStats{{Service: ticketDesk, Requests: 1}}}) // the zone takes requests
 		w := tb.work(func(w *pool.Work) { w.Bytes = int(rnd.next() % 8192) })
 		svc := tb.service(ticketDesk)
-		considered := tb.candidates(tb.now, svc, w)
+		considered, _ := tb.candidates(tb.now, svc, w)
 		best := considered[0]
 		for _, c := range considered {
 			if c.cost < best.cost {
@@ -424,7 +424,7 @@
 			}
 		}
 		for _, s := range tb.servers {
-			if c := tb.evaluate(tb.now, s, tb.route(w.Route), w); c.cost < best.cost-costJitter {
+			if c := tb.evaluate(tb.now, s, tb.route(w.Route), w, 0); c.cost < best.cost-costJitter {
 				require.Fail(t, "cheaper server", "seed %d: %s costs %f, chosen %f", seed, s.entry.Server.ID, c.cost, best.cost)
 			}
 		}
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -58,9 +58,9 @@
 	server  fleet.ServerID
 	service fleet.Service
 	route   string
-	request string // its id, for events
-	started fleet.Time
-	final   bool // a failure is not retried
+	request string     // its id, for events
+	started fleet.Time // when the request is sent
+	final   bool       // a failure is not retried
 	late    bool
 
 	incarnation int64      // of the server
@@ -78,6 +78,7 @@
 
 // peer is the state of another VM.
 type peer struct {
+	zone       fleet.Zone
 	loads      []Load
 	lastReport fleet.Time
 }
@@ -101,7 +102,8 @@
 	coveredZones map[fleet.Zone]bool // other zones whose servers this zone's VMs keep in use
 	vms          int                 // known VMs of the fleet
 
-	limitedStarts int // attempts of this VM at servers that named a rate limit
+	limitedStarts int                         // attempts of this VM at servers that named a rate limit
+	limitChanges  map[fleet.ServerID]struct{} // servers with changes of their limits that other VMs are told
 
 	zone, region reportQueue
 	events       []fleet.Event
@@ -111,14 +113,15 @@
 func New(c Config) *Balancer {
 	return &Balancer{
 		cfg: c, rng: rng(c.Seed | 1),
-		servers:  make(map[fleet.ServerID]*server),
-		services: make(map[fleet.Service]*service),
-		peers:    make(map[fleet.VMID]*peer),
-		routes:   make(map[string]*route),
-		attempts: make(map[pool.WorkID]*attempt),
-		zone:     reportQueue{delay: zoneReportDelay, maxInterval: zoneReportMaxInterval},
-		region:   reportQueue{delay: regionReportDelay, maxInterval: regionReportMaxInterval},
-		vms:      1,
+		servers:      make(map[fleet.ServerID]*server),
+		services:     make(map[fleet.Service]*service),
+		peers:        make(map[fleet.VMID]*peer),
+		routes:       make(map[string]*route),
+		limitChanges: make(map[fleet.ServerID]struct{}),
+		attempts:     make(map[pool.WorkID]*attempt),
+		zone:         reportQueue{delay: zoneReportDelay, maxInterval: zoneReportMaxInterval},
+		region:       reportQueue{delay: regionReportDelay, maxInterval: regionReportMaxInterval},
+		vms:          1,
 	}
 }
 
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -26,6 +26,7 @@
 	warmupSlowdown    = 2.0  // minimum slowdown of a server that is warming up
 	unreachableRisk   = 0.95 // minimum risk of a server that this VM cannot connect to
 	suspectThreshold  = 0.3  // risk from which a server is a suspect
+	limitWaitCost     = 0.5  // of a wait for a rate limit that takes all of the latency objective
 )
 
 // Trial requests to suspects and to idle servers.
@@ -53,6 +54,10 @@
 	floorIdleStagger       = 250 * time.Millisecond
 )
 
+// maxLimitWait is the longest time that a request waits for the rate limit of a server. A request that could
+// not be served within its latency objective after the wait does not wait.
+const maxLimitWait = time.Second
+
 // Back-off and Retry-After times.
 const (
 	shedBackoff        = 200 * time.Millisecond // a server that shed a request counts as full for this long
@@ -89,6 +94,7 @@
 type candidate struct {
 	server        *server
 	risk          float64       // probability that the server is failing
+	limitWait     time.Duration // until the server's rate limit allows the request
 	queueWait     time.Duration // in the server's queue
 	serviceTime   time.Duration // expected, after the queue wait
 	meetsDeadline bool          // the queue wait leaves enough of the request's time
@@ -101,7 +107,10 @@
 	if !w.IsRetry && len(w.Exclude) == 0 {
 		svc.retries.addRequest(now, b.cfg.Budget)
 	}
-	candidates := b.candidates(now, svc, w)
+	candidates, held := b.candidates(now, svc, w)
+	if len(candidates) == 0 && held.count > 0 {
+		return pool.Decision{Work: w.ID, Code: result.NoCapacity, RetryAfter: max(held.until, noServerRetryAfter), Selection: pool.SelectionInputs{Held: held.count}}
+	}
 	if len(candidates) == 0 {
 		return pool.Decision{Work: w.ID, Code: result.NoServer, RetryAfter: noServerRetryAfter}
 	}
@@ -120,19 +129,20 @@
 		best.server.lastTrial = now
 	}
 	if !best.meetsDeadline {
-		inputs := pool.SelectionInputs{Risk: best.risk, Load: best.server.load(), Wait: best.queueWait, Servers: len(candidates)}
+		inputs := pool.SelectionInputs{Risk: best.risk, Load: best.server.load(), Wait: best.queueWait, Servers: len(candidates), Held: held.count}
 		return pool.Decision{Work: w.ID, Code: result.NoCapacity, RetryAfter: max(best.queueWait/2, minRetryAfter), Selection: inputs}
 	}
-	inputs := pool.SelectionInputs{Risk: best.risk, Age: now.Sub(best.server.health.updated), Load: best.server.load(), Wait: best.queueWait, Locality: best.server.distance.String(), Servers: len(candidates)}
-	b.startAttempt(now, w, best.server)
-	return pool.Decision{Work: w.ID, Server: best.server.entry.Server, Trial: trial != nil, Selection: inputs}
+	inputs := pool.SelectionInputs{Risk: best.risk, Age: now.Sub(best.server.health.updated), Load: best.server.load(), Wait: best.queueWait, Locality: best.server.distance.String(), Servers: len(candidates), Held: held.count}
+	b.startAttempt(now, w, best.server, best.limitWait)
+	return pool.Decision{Work: w.ID, Server: best.server.entry.Server, Delay: best.limitWait, Trial: trial != nil, Selection: inputs}
 }
 
 // candidates evaluates the servers that may be the cheapest, nearest first. Servers of another zone
 // or region are left out if the cost of the transfer alone exceeds the cost of a nearer server.
-func (b *Balancer) candidates(now fleet.Time, svc *service, w pool.Work) []candidate {
+func (b *Balancer) candidates(now fleet.Time, svc *service, w pool.Work) ([]candidate, heldServers) {
 	r := b.route(w.Route)
 	var out []candidate
+	var held heldServers
 	best := math.Inf(1)
 	for d, servers := range svc.byDistance() {
 		d := distance(d)
@@ -141,10 +151,19 @@
 		}
 		out = slices.Grow(out, len(servers))
 		for _, s := range servers {
-			if s.entry.Server.State != fleet.StateLive || now < s.leavingUntil || slices.Contains(w.Exclude, s.entry.Server.ID) {
+			if s.unusable(now) || slices.Contains(w.Exclude, s.entry.Server.ID) {
+				continue
+			}
+			wait := b.heldFor(now, s)
+			if wait > maxLimitWait {
+				held.add(wait)
+				continue
+			}
+			c := b.evaluate(now, s, r, w, wait)
+			if wait > 0 && wait+c.queueWait+c.serviceTime > w.LatencyObjective {
+				held.add(wait)
 				continue
 			}
-			c := b.evaluate(now, s, r, w)
 			if d == otherRegion && svc.zoneUnavailable(now, s.entry.Server.Zone) {
 				c.cost += busyZoneCost
 			}
@@ -153,11 +172,12 @@
 			out = append(out, c)
 		}
 	}
-	return out
+	return out, held
 }
 
-func (b *Balancer) evaluate(now fleet.Time, s *server, r *route, w pool.Work) candidate {
-	c := candidate{server: s, risk: s.health.riskAt(now)}
+// evaluate predicts the outcome of the request at a server whose rate limit allows it after limitWait.
+func (b *Balancer) evaluate(now fleet.Time, s *server, r *route, w pool.Work, limitWait time.Duration) candidate {
+	c := candidate{server: s, risk: s.health.riskAt(now), limitWait: limitWait}
 	if now < s.unreachableUntil {
 		c.risk = max(c.risk, unreachableRisk)
 	}
@@ -177,11 +197,14 @@
 		failure *= retryableCost
 	}
 	share := queueWaitShare[min(max(w.Priority, 0), len(queueWaitShare)-1)]
-	c.meetsDeadline = c.queueWait+c.serviceTime/2 <= time.Duration(share*float64(w.Deadline.Sub(now)))
+	c.meetsDeadline = c.limitWait+c.queueWait+c.serviceTime/2 <= time.Duration(share*float64(w.Deadline.Sub(now)))
 	if !c.meetsDeadline {
 		failure = 1
 	}
-	c.cost = failure + latencyCost*lateness(c.queueWait+c.serviceTime, w.LatencyObjective) + loadCost*load/slots + highLoadCost*max(0, load/slots-highLoadThreshold) + b.transferCost(s.distance, r, w)
+	c.cost = failure + latencyCost*lateness(c.limitWait+c.queueWait+c.serviceTime, w.LatencyObjective) + loadCost*load/slots + highLoadCost*max(0, load/slots-highLoadThreshold) + b.transferCost(s.distance, r, w)
+	if limitWait > 0 {
+		c.cost += limitWaitCost * limitWait.Seconds() / w.LatencyObjective.Seconds()
+	}
 	return c
 }
 
@@ -217,7 +240,7 @@
 	var found *candidate
 	for i := range candidates {
 		c := &candidates[i]
-		if c.server.distance > best.server.distance || c.server == best.server || !b.canTry(now, c) {
+		if c.server.distance > best.server.distance || c.server == best.server || c.limitWait > 0 || !b.canTry(now, c) {
 			continue
 		}
 		if found == nil || c.risk < found.risk {
@@ -243,7 +266,7 @@
 		c := &candidates[i]
 		s := c.server
 		eligible := s.distance == inZone || b.coveredZones[s.entry.Server.Zone]
-		if c == best || !eligible || now < s.unreachableUntil {
+		if c == best || !eligible || s.notices.limit.named || now < s.unreachableUntil {
 			continue
 		}
 		idle := now.Sub(s.lastUsed)
@@ -283,18 +306,19 @@
 		return false
 	}
 	if c.risk < suspectThreshold {
-		return now.Sub(s.lastUsed) >= idleTrialDelay
+		return !s.notices.limit.named && now.Sub(s.lastUsed) >= idleTrialDelay
 	}
 	return now.Sub(s.lastTrial) >= trialInterval && now.Sub(s.lastUsed) >= trialInterval
 }
 
-func (b *Balancer) startAttempt(now fleet.Time, w pool.Work, s *server) {
+// startAttempt records an attempt that is sent to the server after delay.
+func (b *Balancer) startAttempt(now fleet.Time, w pool.Work, s *server, delay time.Duration) {
 	s.local++
-	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, request: w.RequestID, started: now, final: !w.Idempotent || w.MaxRetries < 1,
+	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, request: w.RequestID, started: now.Add(delay), final: !w.Idempotent || w.MaxRetries < 1,
 		incarnation: s.entry.Incarnation, usedBefore: s.lastUsed}
 	if s.notices.limit.named {
-		b.limitedStarts++
+		b.startLimited(now, s)
 	}
-	s.lastUsed = now
+	s.lastUsed = now.Add(delay)
 	b.zone.schedule(now)
 }
--- a/pkg/balance/digest.go
+++ b/pkg/balance/digest.go
@@ -43,6 +43,7 @@
 	Server fleet.ServerID
 	Risk   float32 // probability that the server is failing
 	Load   int     // requests in flight at the server
+	Limit  float32 // rate limit that the server names, in requests per second; 0 for none
 }
 
 // ServiceStats counts a service's recent requests and failures in one zone. Older outcomes weigh
@@ -76,10 +77,11 @@
 	d := Digest{Zone: b.cfg.Zone}
 	for id, s := range b.servers {
 		risk := s.health.riskAt(now)
-		if s.distance != inZone || s.load() == 0 && risk < baselineRisk+digestMinDeviation && risk > baselineRisk-digestMinDeviation {
+		limit := s.notices.limit.digestLimit()
+		if s.distance != inZone || limit == 0 && s.load() == 0 && risk < baselineRisk+digestMinDeviation && risk > baselineRisk-digestMinDeviation {
 			continue
 		}
-		d.Servers = append(d.Servers, ServerEstimate{Server: id, Risk: float32(risk), Load: s.load()})
+		d.Servers = append(d.Servers, ServerEstimate{Server: id, Risk: float32(risk), Load: s.load(), Limit: limit})
 	}
 	slices.SortFunc(d.Servers, func(x, y ServerEstimate) int { return cmp.Compare(x.Server, y.Server) })
 	for name, svc := range b.services {
@@ -103,6 +105,9 @@
 		if s.distance != inZone {
 			s.digestLoad, s.digestLoadUpdated = max(0, e.Load-s.local), now
 		}
+		if e.Limit >= 0 {
+			s.notices.limit.applyDigestLimit(now, e.Limit)
+		}
 		if s.lastOutcome == 0 || now.Sub(s.lastOutcome) >= ownOutcomeTTL {
 			s.health = healthEstimate{min(max(float64(e.Risk), minRisk), maxRisk), now}
 		}
@@ -143,7 +148,10 @@
 			continue
 		}
 		load += srv.load()
-		if srv.health.riskAt(now) < suspectThreshold {
+		switch {
+		case srv.notices.limit.named:
+			slots += min(srv.load(), srv.entry.Slots) // what its limit leaves free is for this region
+		case srv.health.riskAt(now) < suspectThreshold:
 			slots += srv.entry.Slots
 		}
 	}
--- /dev/null
+++ b/pkg/balance/limit.go
@@ -0,0 +1,289 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+)
+
+// A server's rate limit applies to all VMs together. Each VM keeps a token bucket for the server that is
+// filled at the limit's rate and charged with its own attempts and with those that other VMs report. Requests
+// that several VMs send before they hear of each other overdraw the bucket, and the next ones wait until the
+// debt is paid. VMs of other regions, which hear of these attempts late, leave servers with a limit to the
+// VMs of their region.
+
+const (
+	// limitBurst is how much of an unused limit is kept for a burst; at least one request.
+	limitBurst = 250 * time.Millisecond
+	// maxLimitDebt bounds the debt that one wrong or late report can cause.
+	maxLimitDebt = 20 * time.Second
+	// minLimitRate is the least rate, in requests per second of a region, at which a server is used. Only a
+	// response can show that its limit has ended.
+	minLimitRate = 0.25
+	// remoteLimitTTL is how long a VM of another region holds a limit in effect without hearing of it again.
+	remoteLimitTTL = 10 * time.Second
+	// limitReportTTL is how long a change of a server's limit or use is part of each report. A lost report
+	// then delays it until the next one.
+	limitReportTTL = time.Second
+	// maxLimitUsers is the number of VMs that use a server with a limit. More would send it requests at the same
+	// time, before they hear of each other.
+	maxLimitUsers = 12
+	// limitUserInterval is the interval at which the users of a limit are determined.
+	limitUserInterval = 500 * time.Millisecond
+	// maxLimitUses bounds one report, so that it fits into a datagram.
+	maxLimitUses = 48
+)
+
+// rateLimit is the rate of requests that a server accepts from all VMs together, and its use.
+type rateLimit struct {
+	rate    float64    // requests per second
+	named   bool       // the server names a limit at present
+	updated fleet.Time // when the latest response that names the limit, or shows that it has ended, was received; 0 for never
+	own     limitResponse
+
+	excluded      bool       // this VM is not one of the users of the limit
+	excludedSince fleet.Time // when excluded was determined; 0 for never
+
+	tokens     float64 // requests that may be sent now; negative while in debt
+	filled     fleet.Time
+	starts     uint32                // attempts of this VM since it knows the limit
+	recent     []fleet.Time          // when those of the last limitReportTTL were started
+	peerStarts map[fleet.VMID]uint32 // the same of other VMs, by their last reports
+	changed    fleet.Time            // latest change that other VMs are told
+}
+
+// limitResponse is what the latest response to this VM says about a server's limit.
+type limitResponse struct {
+	rate  float64
+	named bool
+	at    fleet.Time // 0 for no response
+}
+
+// LimitUse reports a VM's use of a server's rate limit, and what the server's latest response to that VM says
+// about the limit.
+type LimitUse struct {
+	//lint:ignore U1000 msgpack reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Server      fleet.ServerID
+	Incarnation int64
+	Starts      uint32  // attempts of the VM since it knows the limit
+	Recent      uint32  // of these, started within limitReportTTL before the report
+	Named       bool    // the response names a limit
+	Rate        float32 // requests per second, if Named
+	AgeMS       int64   // milliseconds from the response to the report; negative without a response
+	Leaving     bool    // the server said that it is shutting down
+}
+
+// set applies what a response received at the given time says, unless a later one is known. A bucket
+// starts empty, since the server got as many requests as it could before.
+func (l *rateLimit) set(now, at fleet.Time, rate float64, named bool) {
+	if at <= l.updated {
+		return
+	}
+	if !named {
+		*l = rateLimit{updated: at, own: l.own, changed: l.changed}
+		return
+	}
+	if !l.named {
+		l.filled = now
+	} else {
+		l.fill(now)
+	}
+	l.rate, l.named, l.updated = max(rate, minLimitRate), true, at
+}
+
+// burst returns the capacity of the bucket.
+func (l *rateLimit) burst() float64 { return max(1, l.rate*limitBurst.Seconds()) }
+
+// fill adds the tokens of the time since the last call.
+func (l *rateLimit) fill(now fleet.Time) {
+	l.tokens = min(l.burst(), l.tokens+l.rate*now.Sub(l.filled).Seconds())
+	l.filled = now
+}
+
+// charge takes the tokens of n requests.
+func (l *rateLimit) charge(now fleet.Time, n float64) {
+	l.fill(now)
+	l.tokens = max(l.tokens-n, -max(1, l.rate*maxLimitDebt.Seconds()))
+}
+
+// wait returns how long it takes until the limit allows another request.
+func (l *rateLimit) wait(now fleet.Time) time.Duration {
+	l.fill(now)
+	return time.Duration(max(0, (1-l.tokens)/l.rate) * float64(time.Second))
+}
+
+// chargePeer charges the requests that another VM sent since its previous report; of the first report, the
+// recent ones. A lower count comes from a restarted process or late, and only replaces the count.
+func (l *rateLimit) chargePeer(now fleet.Time, vm fleet.VMID, u LimitUse) {
+	before, known := l.peerStarts[vm]
+	if l.peerStarts == nil {
+		l.peerStarts = make(map[fleet.VMID]uint32)
+	}
+	l.peerStarts[vm] = u.Starts
+	switch {
+	case !known:
+		l.charge(now, float64(min(u.Recent, u.Starts)))
+	case u.Starts > before:
+		l.charge(now, float64(u.Starts-before))
+	}
+}
+
+// recentStarts returns how many attempts of this VM were started within limitReportTTL.
+func (l *rateLimit) recentStarts(now fleet.Time) uint32 {
+	l.recent = slices.DeleteFunc(l.recent, func(at fleet.Time) bool { return now.Sub(at) > limitReportTTL })
+	return uint32(len(l.recent))
+}
+
+// String returns the limit in requests per second, or "none".
+func (l rateLimit) String() string {
+	if !l.named {
+		return "none"
+	}
+	return formatRate(l.rate)
+}
+
+func formatRate(r float64) string { return strconv.FormatFloat(r, 'f', 2, 64) }
+
+// usesLimit reports whether this VM is one of the users of the server's limit.
+func (b *Balancer) usesLimit(now fleet.Time, s *server) bool {
+	l := &s.notices.limit
+	if l.excludedSince == 0 || now.Sub(l.excludedSince) >= limitUserInterval {
+		l.excluded, l.excludedSince = b.limitRank(s) >= maxLimitUsers, max(now, 1)
+	}
+	return !l.excluded
+}
+
+// limitRank returns how many VMs of the region precede this VM as users of the server's limit: VMs of the
+// server's zone precede others, and a hash orders those of a group differently for each server.
+func (b *Balancer) limitRank(s *server) int {
+	hash := func(vm fleet.VMID) uint64 { return xxhash.Sum64String(string(vm) + "/" + string(s.entry.Server.ID)) }
+	own, n := hash(b.cfg.Self), 0
+	for id, p := range b.peers {
+		near := p.zone == s.entry.Server.Zone
+		if near == (s.distance == inZone) && hash(id) > own || near && s.distance != inZone {
+			n++
+		}
+	}
+	return n
+}
+
+// startLimited records an attempt of this VM at a server with a limit.
+func (b *Balancer) startLimited(now fleet.Time, s *server) {
+	l := &s.notices.limit
+	l.charge(now, 1)
+	l.starts++
+	l.recentStarts(now)
+	l.recent = append(l.recent, now)
+	b.limitedStarts++
+	b.limitChanged(now, s)
+}
+
+// limitChanged schedules reports of a server's limit and its use.
+func (b *Balancer) limitChanged(now fleet.Time, s *server) {
+	s.notices.limit.changed = now
+	b.limitChanges[s.entry.Server.ID] = struct{}{}
+	b.zone.schedule(now)
+	b.region.schedule(now)
+}
+
+// limitLogRatio is by how much a limit must change for another log line.
+const limitLogRatio = 0.2
+
+// nameLimit applies a limit that a response to this VM names.
+func (b *Balancer) nameLimit(now fleet.Time, s *server, rate float64) {
+	l := &s.notices.limit
+	if !l.own.named || math.Abs(rate-l.own.rate) > limitLogRatio*l.own.rate {
+		b.noticeEvent("server_limited", s, "named by the server", map[string]string{"limit": formatRate(rate), "before": l.String()})
+	}
+	l.own = limitResponse{rate, true, now}
+	l.set(now, now, rate, true)
+	b.limitChanged(now, s)
+}
+
+// endLimit ends the limit if a response without one was received after the latest that named one.
+func (b *Balancer) endLimit(now, at fleet.Time, s *server) {
+	l := &s.notices.limit
+	if !l.named || at <= l.updated {
+		return
+	}
+	b.noticeEvent("server_limit_ended", s, "a response does not name it", map[string]string{"before": l.String()})
+	l.own = limitResponse{at: at}
+	l.set(now, at, 0, false)
+	b.limitChanged(now, s)
+}
+
+// endsLimit reports whether a response shows that its server names no limit. Only one that the server
+// completed without a failure does.
+func endsLimit(e pool.End) bool {
+	served := e.State == pool.EndOK || e.State == pool.EndCallerError || e.State == pool.EndDraining
+	return served && e.RespondedAt != 0 && !e.Notice.HasRateLimit && !e.Notice.InvalidRateLimit
+}
+
+// limitUses returns the recent changes of this region's servers with a limit, for a report.
+func (b *Balancer) limitUses(now fleet.Time) []LimitUse {
+	var recent []*server
+	for id := range b.limitChanges {
+		s := b.servers[id]
+		if s == nil || now.Sub(s.notices.limit.changed) > limitReportTTL {
+			delete(b.limitChanges, id)
+			continue
+		}
+		recent = append(recent, s)
+	}
+	slices.SortFunc(recent, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(y.notices.limit.changed, x.notices.limit.changed), cmp.Compare(x.entry.Server.ID, y.entry.Server.ID))
+	})
+	var out []LimitUse
+	for _, s := range recent[:min(len(recent), maxLimitUses)] {
+		l := &s.notices.limit
+		u := LimitUse{Server: s.entry.Server.ID, Incarnation: s.entry.Incarnation, Starts: l.starts, Recent: l.recentStarts(now), AgeMS: -1, Leaving: s.notices.leaving}
+		if l.own.at != 0 {
+			u.Named, u.Rate, u.AgeMS = l.own.named, float32(l.own.rate), now.Sub(l.own.at).Milliseconds()
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
+// applyLimitUse applies another VM's use of a server's limit.
+func (b *Balancer) applyLimitUse(now fleet.Time, from fleet.VMID, u LimitUse) {
+	s := b.servers[u.Server]
+	if s == nil || s.entry.Incarnation != u.Incarnation || s.distance == otherRegion {
+		return
+	}
+	if u.Leaving {
+		s.notices.leaving = true
+	}
+	l := &s.notices.limit
+	if u.AgeMS >= 0 && u.AgeMS <= maxObservationAge.Milliseconds() && u.Rate >= 0 {
+		l.set(now, now.Add(-time.Duration(u.AgeMS)*time.Millisecond), float64(u.Rate), u.Named)
+	}
+	if l.named {
+		l.chargePeer(now, from, u)
+	}
+}
+
+// digestLimit returns a server's limit for a digest; 0 if it names none.
+func (l *rateLimit) digestLimit() float32 {
+	if !l.named {
+		return 0
+	}
+	return float32(l.rate)
+}
+
+// applyDigestLimit applies a limit from a digest, unless this VM has later information.
+func (l *rateLimit) applyDigestLimit(now fleet.Time, rate float32) {
+	if l.updated == 0 && rate == 0 || l.updated != 0 && now.Sub(l.updated) < ownOutcomeTTL {
+		return
+	}
+	l.set(now, now, float64(rate), rate > 0)
+}
--- a/pkg/balance/notice.go
+++ b/pkg/balance/notice.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"strconv"
+	"time"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
@@ -15,13 +16,6 @@
 	pausedUntil fleet.Time // it wants no request from this VM before
 }
 
-// rateLimit is the rate of requests that a server accepts from all VMs together.
-type rateLimit struct {
-	rate    float64    // requests per second
-	named   bool       // the server names a limit at present
-	updated fleet.Time // when the latest response that names the limit, or shows that it has ended, was received; 0 for never
-}
-
 // HandleNotice records what the response to an attempt says about its server.
 func (b *Balancer) HandleNotice(now fleet.Time, id pool.WorkID, n pool.ServerNotice) {
 	a := b.attempts[id]
@@ -33,7 +27,7 @@
 		return
 	}
 	if n.HasRateLimit {
-		b.setLimit(now, s, n.RateLimit)
+		b.nameLimit(now, s, n.RateLimit)
 	}
 	if n.Leaving && !s.notices.leaving {
 		s.notices.leaving = true
@@ -45,47 +39,52 @@
 	}
 }
 
-// limitLogRatio is by how much a limit must change for another log line.
-const limitLogRatio = 0.2
+func (b *Balancer) noticeEvent(kind fleet.EventKind, s *server, reason string, detail map[string]string) {
+	b.event(fleet.Event{Kind: kind, Service: s.entry.Server.Service, Server: s.entry.Server.ID, Reason: reason, Detail: detail})
+}
 
-// setLimit applies a limit that a response received now names.
-func (b *Balancer) setLimit(now fleet.Time, s *server, rate float64) {
+// heldFor returns how long what the server said keeps requests of this VM away from it: 0 if it does not,
+// and math.MaxInt64 if it does for good.
+func (b *Balancer) heldFor(now fleet.Time, s *server) time.Duration {
 	l := &s.notices.limit
-	if !l.named || math.Abs(rate-l.rate) > limitLogRatio*l.rate {
-		b.noticeEvent("server_limited", s, "named by the server", map[string]string{"limit": formatRate(rate), "before": l.String()})
+	switch {
+	case !l.named:
+		return 0
+	case s.distance == otherRegion:
+		return max(0, l.updated.Add(remoteLimitTTL).Sub(now))
+	case !b.usesLimit(now, s):
+		return math.MaxInt64
 	}
-	l.rate, l.named, l.updated = rate, true, now
+	return l.wait(now)
 }
 
-// endLimit ends the limit if a response without one was received after the latest that named one.
-func (b *Balancer) endLimit(at fleet.Time, s *server) {
-	l := &s.notices.limit
-	if !l.named || at <= l.updated {
-		return
+// MaySend reports whether an attempt with a delay may still be sent to its server. Otherwise the attempt
+// must be ended and another server chosen.
+func (b *Balancer) MaySend(now fleet.Time, id pool.WorkID) bool {
+	a := b.attempts[id]
+	if a == nil {
+		return false
 	}
-	b.noticeEvent("server_limit_ended", s, "a response does not name it", map[string]string{"before": l.String(), "for_ms": strconv.FormatInt(at.Sub(l.updated).Milliseconds(), 10)})
-	l.rate, l.named, l.updated = 0, false, at
+	s := b.servers[a.server]
+	return s != nil && s.entry.Incarnation == a.incarnation && !s.unusable(now)
 }
 
-// endsLimit reports whether a response shows that its server names no limit. Only one that the server
-// completed without a failure does.
-func endsLimit(e pool.End) bool {
-	served := e.State == pool.EndOK || e.State == pool.EndCallerError || e.State == pool.EndDraining
-	return served && e.RespondedAt != 0 && !e.Notice.HasRateLimit && !e.Notice.InvalidRateLimit
+// unusable reports whether the server is shutting down or wants no request from this VM.
+func (s *server) unusable(now fleet.Time) bool {
+	return s.entry.Server.State != fleet.StateLive || now < s.leavingUntil
 }
 
-// String returns the limit in requests per second, or "none".
-func (l rateLimit) String() string {
-	if !l.named {
-		return "none"
-	}
-	return formatRate(l.rate)
+// heldServers counts the servers that their notices keep out of a choice.
+type heldServers struct {
+	count int
+	until time.Duration // until the first of them may be used again; 0 if none may
 }
 
-func formatRate(r float64) string { return strconv.FormatFloat(r, 'f', 2, 64) }
-
-func (b *Balancer) noticeEvent(kind fleet.EventKind, s *server, reason string, detail map[string]string) {
-	b.event(fleet.Event{Kind: kind, Service: s.entry.Server.Service, Server: s.entry.Server.ID, Reason: reason, Detail: detail})
+func (h *heldServers) add(wait time.Duration) {
+	h.count++
+	if wait != math.MaxInt64 && (h.until == 0 || wait < h.until) {
+		h.until = wait
+	}
 }
 
 // NoticeCounts returns the numbers of servers with a rate limit, of those that are shutting down by their own
--- a/pkg/balance/observe.go
+++ b/pkg/balance/observe.go
@@ -55,7 +55,7 @@
 	}
 	s.local = max(0, s.local-1)
 	if s.entry.Incarnation == a.incarnation && endsLimit(e) {
-		b.endLimit(e.RespondedAt, s)
+		b.endLimit(now, e.RespondedAt, s)
 	}
 	o := outcomeOf(e.State)
 	if o == 0 || o == OutcomeTimeout && !a.late {
@@ -219,6 +219,9 @@
 // ApplyReport applies a report received from another VM.
 func (b *Balancer) ApplyReport(now fleet.Time, from fleet.VMID, r Report) {
 	b.setLoads(now, from, r)
+	for _, u := range r.Limits {
+		b.applyLimitUse(now, from, u)
+	}
 	for _, o := range r.Observations {
 		s := b.servers[o.Server]
 		if s == nil || o.AgeMS < 0 || o.AgeMS > maxObservationAge.Milliseconds() {
@@ -238,7 +241,7 @@
 		p = &peer{}
 		b.peers[from] = p
 	}
-	p.lastReport = now
+	p.lastReport, p.zone = now, r.Zone
 	old := p.loads
 	p.loads = slices.DeleteFunc(r.Loads, func(l Load) bool { return l.InFlight <= 0 || l.InFlight > maxReportedLoad })
 	for _, l := range old {
--- a/pkg/fleetsim/limits_test.go
+++ b/pkg/fleetsim/limits_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
 )
 
 // Guards against servers that get more requests from all VMs together than the rate limit that they name.
@@ -13,3 +16,51 @@
 		require.LessOrEqual(t, r.OverLimit, 0.0, seed)
 	}
 }
+
+// Guards against limits that hold only in the load, the fleet and the network of the scenario.
+func TestRateLimitsHoldInOtherFleets(t *testing.T) {
+	for name, change := range map[string]func(*Scenario){
+		"all servers": func(s *Scenario) { s.Limits.Share = 1 },
+		"low limits":  func(s *Scenario) { s.Limits.Share, s.Limits.Rate = 1, 0.5 },
+		"one by one": func(s *Scenario) {
+			s.Limits.Share, s.Limits.Rate, s.Limits.Late = 0.5, 1, document.Duration(8*time.Second)
+		},
+		"slow reports": func(s *Scenario) {
+			s.Delays.Zone, s.Delays.Region = document.Duration(40*time.Millisecond), document.Duration(100*time.Millisecond)
+		},
+		"restart of all": func(s *Scenario) {
+			s.Restart = &Restart{At: document.Duration(12 * time.Second), Down: document.Duration(time.Second), Spread: document.Duration(2 * time.Second)}
+		},
+	} {
+		for seed := range uint64(3) {
+			s := loadScenario(t, "limits")
+			change(s)
+			r := runScenario(t, s, seed)
+			require.LessOrEqual(t, r.OverLimit, 0.0, "%s, seed %d", name, seed)
+		}
+	}
+}
+
+// Guards against the VMs of a large zone that all send requests to a server in the moment in which its limit
+// allows one.
+func TestRateLimitsHoldInALargeZone(t *testing.T) {
+	for _, rate := range []float64{255, 500} {
+		s := withDuration(loadScenario(t, "limits"), 16*time.Second)
+		s.Zones = []Zone{{Name: "addis-a", Region: "addis", VMs: 50, Servers: 99}}
+		s.Rate, s.Limits.Rate, s.Limits.To = rate, 1.3, s.Duration
+		s.Delays.Zone = document.Duration(40 * time.Millisecond)
+		r := runScenario(t, s, 1)
+		require.LessOrEqual(t, r.OverLimit, 0.0, rate)
+	}
+}
+
+// Guards against limits that are left unused while requests are refused for lack of capacity.
+func TestRateLimitsAreUsedUnderShortage(t *testing.T) {
+	for seed := range uint64(3) {
+		s := loadScenario(t, "limits")
+		s.Limits.Share, s.Limits.Rate = 1, 3
+		r := runScenario(t, s, seed)
+		require.Positive(t, r.Refused, seed)
+		require.GreaterOrEqual(t, r.LimitUse, 0.95, seed)
+	}
+}
--- a/pkg/fleetsim/vm.go
+++ b/pkg/fleetsim/vm.go
@@ -154,6 +154,20 @@
 		sim.report.Refused++
 		return
 	}
+	if d.Delay > 0 {
+		process := v.processCount
+		sim.schedule(d.Delay, func() {
+			if v.up && v.processCount == process {
+				sim.dispatch(v, r, d, r.deadline.Sub(sim.now))
+			}
+		})
+		return
+	}
+	sim.dispatch(v, r, d, left)
+}
+
+// dispatch sends a request to the server that was chosen for it.
+func (sim *simulation) dispatch(v *vm, r *request, d pool.Decision, left time.Duration) {
 	s := sim.byID[d.Server.ID]
 	r.attempts++
 	r.tried = append(r.tried, d.Server.ID)
@@ -164,7 +178,7 @@
 	if d.Trial {
 		sim.report.Trials++
 	}
-	a := &attempt{request: r, vm: v, id: v.lastWorkID, server: s, sent: sim.now, stopAt: r.deadline}
+	a := &attempt{request: r, vm: v, id: d.Work, server: s, sent: sim.now, stopAt: r.deadline}
 	zone := sim.zones[s.entry.Zone]
 	sim.countBytes(v.zone, zone, r.route)
 	sim.sendReports(v)
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/document"
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
@@ -35,13 +36,35 @@
 	return chosen
 }
 
-// Acquire selects a server immediately; requests are not queued and need no other VM.
+// Acquire selects a server without the help of another VM. It waits if the rate limit of the selected server
+// allows the request a little later.
 func (g *Gateway) Acquire(ctx context.Context, work pool.Work) (d pool.Decision) {
-	if ctx.Err() != nil {
-		return pool.Decision{Work: work.ID, Code: result.CallerGone}
+	for queued := time.Duration(0); ctx.Err() == nil; queued += d.Delay {
+		g.update(func(now fleet.Time) { d = g.balance.Choose(now, work) })
+		d.Queued = queued + d.Delay
+		if d.Code != result.OK || d.Delay == 0 {
+			return d
+		}
+		if g.waitToSend(ctx, d) {
+			return d
+		}
+		g.Release(d.Work, pool.End{State: pool.EndAbandoned})
+		work.ID, work.LatencyObjective = g.NewWorkID(), work.LatencyObjective-d.Delay
+	}
+	return pool.Decision{Work: work.ID, Code: result.CallerGone}
+}
+
+// waitToSend waits for the decision's delay and reports whether the work may then be sent to the server.
+func (g *Gateway) waitToSend(ctx context.Context, d pool.Decision) (ok bool) {
+	timer := time.NewTimer(d.Delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
 	}
-	g.update(func(now fleet.Time) { d = g.balance.Choose(now, work) })
-	return d
+	g.update(func(now fleet.Time) { ok = g.balance.MaySend(now, d.Work) })
+	return ok
 }
 
 // HandleNotice records what a response says about its server.
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -37,6 +37,7 @@
 	Work       WorkID
 	Server     fleet.Server // set when Code is result.OK
 	Code       result.Code
+	Delay      time.Duration   // time after which the work may be sent to the server
 	Trial      bool            // the server is ejected and the request tests its recovery
 	Queued     time.Duration   // time spent in the queue
 	RetryAfter time.Duration   // on refusal: suggested Retry-After; 0 means none
@@ -51,6 +52,7 @@
 	Wait     time.Duration // expected wait in the server's queue
 	Locality string        // location of the server: zone, region or far
 	Servers  int           // number of candidate servers
+	Held     int           // number of servers left out because of what they said about themselves
 }
 
 // EndState is the outcome of an attempt on a server.
--- a/pkg/proxy/requestlog.go
+++ b/pkg/proxy/requestlog.go
@@ -42,6 +42,9 @@
 	}
 	b.WriteString(" risk=" + strconv.FormatFloat(r.selection.Risk, 'f', 3, 64) + " risk_age=" + ms(r.selection.Age) +
 		" load=" + strconv.Itoa(r.selection.Load) + " wait=" + ms(r.selection.Wait) + " place=" + r.selection.Locality + " servers=" + strconv.Itoa(r.selection.Servers))
+	if r.selection.Held != 0 {
+		b.WriteString(" held=" + strconv.Itoa(r.selection.Held))
+	}
 	return b.String()
 }
 
