A server that says in a response that it leaves gets no further request

Callers could get failures of a server that is about to stop: a VM learned of a departure from the registry, or for 10 s from a successful response with the header; a failure or a refusal with it counted as nothing else. Cause: the notice was derived from the kind of response, and state of a server was dropped with its registration, which comes back after an outage of the store.

A request that waited for a rate limit asks again before it is sent.

--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -99,11 +99,12 @@
 	peers        map[fleet.VMID]*peer
 	routes       map[string]*route
 	attempts     map[pool.WorkID]*attempt
-	coveredZones map[fleet.Zone]bool // other zones whose servers this zone's VMs keep in use
-	vms          int                 // known VMs of the fleet
+	coveredZones map[fleet.Zone]bool               // other zones whose servers this zone's VMs keep in use
+	vms          int                               // known VMs of the fleet
+	departed     map[fleet.ServerID]departedServer // servers with notices that are no longer registered
 
 	limitedStarts int                         // attempts of this VM at servers that named a rate limit
-	limitChanges  map[fleet.ServerID]struct{} // servers with changes of their limits that other VMs are told
+	noticeChanges map[fleet.ServerID]struct{} // servers with changes of their limits that other VMs are told
 
 	zone, region reportQueue
 	events       []fleet.Event
@@ -113,15 +114,16 @@
 func New(c Config) *Balancer {
 	return &Balancer{
 		cfg: c, rng: rng(c.Seed | 1),
-		servers:      make(map[fleet.ServerID]*server),
-		services:     make(map[fleet.Service]*service),
-		peers:        make(map[fleet.VMID]*peer),
-		routes:       make(map[string]*route),
-		limitChanges: make(map[fleet.ServerID]struct{}),
-		attempts:     make(map[pool.WorkID]*attempt),
-		zone:         reportQueue{delay: zoneReportDelay, maxInterval: zoneReportMaxInterval},
-		region:       reportQueue{delay: regionReportDelay, maxInterval: regionReportMaxInterval},
-		vms:          1,
+		servers:       make(map[fleet.ServerID]*server),
+		services:      make(map[fleet.Service]*service),
+		peers:         make(map[fleet.VMID]*peer),
+		routes:        make(map[string]*route),
+		noticeChanges: make(map[fleet.ServerID]struct{}),
+		attempts:      make(map[pool.WorkID]*attempt),
+		departed:      make(map[fleet.ServerID]departedServer),
+		zone:          reportQueue{delay: zoneReportDelay, maxInterval: zoneReportMaxInterval},
+		region:        reportQueue{delay: regionReportDelay, maxInterval: regionReportMaxInterval},
+		vms:           1,
 	}
 }
 
@@ -139,7 +141,7 @@
 func (b *Balancer) Apply(now fleet.Time, changes []registry.Change) {
 	for _, c := range changes {
 		if c.Entry == nil {
-			b.remove(c.ID)
+			b.depart(now, c.ID)
 			continue
 		}
 		b.update(now, *c.Entry)
@@ -187,6 +189,7 @@
 		warmUntil: now.Add(e.Warmup), lastUsed: now,
 		staggerShare: float64(xxhash.Sum64String(string(b.cfg.Self)+"/"+string(e.Server.ID))>>11) / (1 << 53),
 	}
+	b.returned(s)
 	b.servers[e.Server.ID] = s
 	svc := b.service(e.Server.Service)
 	svc.servers[e.Server.ID] = s
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -151,10 +151,10 @@
 		}
 		out = slices.Grow(out, len(servers))
 		for _, s := range servers {
-			if s.unusable(now) || slices.Contains(w.Exclude, s.entry.Server.ID) {
+			if s.isLeaving(now) || slices.Contains(w.Exclude, s.entry.Server.ID) {
 				continue
 			}
-			wait := b.heldFor(now, s)
+			wait := b.limitWait(now, s)
 			if wait > maxLimitWait {
 				held.add(wait)
 				continue
--- a/pkg/balance/limit.go
+++ b/pkg/balance/limit.go
@@ -29,16 +29,16 @@
 	minLimitRate = 0.25
 	// remoteLimitTTL is how long a VM of another region holds a limit in effect without hearing of it again.
 	remoteLimitTTL = 10 * time.Second
-	// limitReportTTL is how long a change of a server's limit or use is part of each report. A lost report
+	// noticeReportTTL is how long a change of a server's limit or use is part of each report. A lost report
 	// then delays it until the next one.
-	limitReportTTL = time.Second
+	noticeReportTTL = time.Second
 	// maxLimitUsers is the number of VMs that use a server with a limit. More would send it requests at the same
 	// time, before they hear of each other.
 	maxLimitUsers = 12
 	// limitUserInterval is the interval at which the users of a limit are determined.
 	limitUserInterval = 500 * time.Millisecond
-	// maxLimitUses bounds one report, so that it fits into a datagram.
-	maxLimitUses = 48
+	// maxReportedNotices bounds one report, so that it fits into a datagram.
+	maxReportedNotices = 48
 )
 
 // rateLimit is the rate of requests that a server accepts from all VMs together, and its use.
@@ -54,7 +54,7 @@
 	tokens     float64 // requests that may be sent now; negative while in debt
 	filled     fleet.Time
 	starts     uint32                // attempts of this VM since it knows the limit
-	recent     []fleet.Time          // when those of the last limitReportTTL were started
+	recent     []fleet.Time          // when those of the last noticeReportTTL were started
 	peerStarts map[fleet.VMID]uint32 // the same of other VMs, by their last reports
 	changed    fleet.Time            // latest change that other VMs are told
 }
@@ -66,16 +66,16 @@
 	at    fleet.Time // 0 for no response
 }
 
-// LimitUse reports a VM's use of a server's rate limit, and what the server's latest response to that VM says
+// ServerNotice reports a VM's use of a server's rate limit, and what the server's latest response to that VM says
 // about the limit.
-type LimitUse struct {
+type ServerNotice struct {
 	//lint:ignore U1000 msgpack reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Server      fleet.ServerID
 	Incarnation int64
 	Starts      uint32  // attempts of the VM since it knows the limit
-	Recent      uint32  // of these, started within limitReportTTL before the report
+	Recent      uint32  // of these, started within noticeReportTTL before the report
 	Named       bool    // the response names a limit
 	Rate        float32 // requests per second, if Named
 	AgeMS       int64   // milliseconds from the response to the report; negative without a response
@@ -123,7 +123,7 @@
 
 // chargePeer charges the requests that another VM sent since its previous report; of the first report, the
 // recent ones. A lower count comes from a restarted process or late, and only replaces the count.
-func (l *rateLimit) chargePeer(now fleet.Time, vm fleet.VMID, u LimitUse) {
+func (l *rateLimit) chargePeer(now fleet.Time, vm fleet.VMID, u ServerNotice) {
 	before, known := l.peerStarts[vm]
 	if l.peerStarts == nil {
 		l.peerStarts = make(map[fleet.VMID]uint32)
@@ -137,9 +137,9 @@
 	}
 }
 
-// recentStarts returns how many attempts of this VM were started within limitReportTTL.
+// recentStarts returns how many attempts of this VM were started within noticeReportTTL.
 func (l *rateLimit) recentStarts(now fleet.Time) uint32 {
-	l.recent = slices.DeleteFunc(l.recent, func(at fleet.Time) bool { return now.Sub(at) > limitReportTTL })
+	l.recent = slices.DeleteFunc(l.recent, func(at fleet.Time) bool { return now.Sub(at) > noticeReportTTL })
 	return uint32(len(l.recent))
 }
 
@@ -153,6 +153,21 @@
 
 func formatRate(r float64) string { return strconv.FormatFloat(r, 'f', 2, 64) }
 
+// limitWait returns how long the rate limit of a server keeps requests of this VM away from it: 0 if it does not, and
+// math.MaxInt64 if this VM does not use the limit.
+func (b *Balancer) limitWait(now fleet.Time, s *server) time.Duration {
+	l := &s.notices.limit
+	switch {
+	case !l.named:
+		return 0
+	case s.distance == otherRegion:
+		return max(0, l.updated.Add(remoteLimitTTL).Sub(now))
+	case !b.usesLimit(now, s):
+		return math.MaxInt64
+	}
+	return l.wait(now)
+}
+
 // usesLimit reports whether this VM is one of the users of the server's limit.
 func (b *Balancer) usesLimit(now fleet.Time, s *server) bool {
 	l := &s.notices.limit
@@ -184,13 +199,13 @@
 	l.recentStarts(now)
 	l.recent = append(l.recent, now)
 	b.limitedStarts++
-	b.limitChanged(now, s)
+	b.noticeChanged(now, s)
 }
 
-// limitChanged schedules reports of a server's limit and its use.
-func (b *Balancer) limitChanged(now fleet.Time, s *server) {
+// noticeChanged schedules reports of a server's limit and its use.
+func (b *Balancer) noticeChanged(now fleet.Time, s *server) {
 	s.notices.limit.changed = now
-	b.limitChanges[s.entry.Server.ID] = struct{}{}
+	b.noticeChanges[s.entry.Server.ID] = struct{}{}
 	b.zone.schedule(now)
 	b.region.schedule(now)
 }
@@ -206,7 +221,7 @@
 	}
 	l.own = limitResponse{rate, true, now}
 	l.set(now, now, rate, true)
-	b.limitChanged(now, s)
+	b.noticeChanged(now, s)
 }
 
 // endLimit ends the limit if a response without one was received after the latest that named one.
@@ -218,7 +233,7 @@
 	b.noticeEvent("server_limit_ended", s, "a response does not name it", map[string]string{"before": l.String()})
 	l.own = limitResponse{at: at}
 	l.set(now, at, 0, false)
-	b.limitChanged(now, s)
+	b.noticeChanged(now, s)
 }
 
 // endsLimit reports whether a response shows that its server names no limit. Only one that the server
@@ -229,12 +244,12 @@
 }
 
 // limitUses returns the recent changes of this region's servers with a limit, for a report.
-func (b *Balancer) limitUses(now fleet.Time) []LimitUse {
+func (b *Balancer) reportedNotices(now fleet.Time) []ServerNotice {
 	var recent []*server
-	for id := range b.limitChanges {
+	for id := range b.noticeChanges {
 		s := b.servers[id]
-		if s == nil || now.Sub(s.notices.limit.changed) > limitReportTTL {
-			delete(b.limitChanges, id)
+		if s == nil || now.Sub(s.notices.limit.changed) > noticeReportTTL {
+			delete(b.noticeChanges, id)
 			continue
 		}
 		recent = append(recent, s)
@@ -242,10 +257,10 @@
 	slices.SortFunc(recent, func(x, y *server) int {
 		return cmp.Or(cmp.Compare(y.notices.limit.changed, x.notices.limit.changed), cmp.Compare(x.entry.Server.ID, y.entry.Server.ID))
 	})
-	var out []LimitUse
-	for _, s := range recent[:min(len(recent), maxLimitUses)] {
+	var out []ServerNotice
+	for _, s := range recent[:min(len(recent), maxReportedNotices)] {
 		l := &s.notices.limit
-		u := LimitUse{Server: s.entry.Server.ID, Incarnation: s.entry.Incarnation, Starts: l.starts, Recent: l.recentStarts(now), AgeMS: -1, Leaving: s.notices.leaving}
+		u := ServerNotice{Server: s.entry.Server.ID, Incarnation: s.entry.Incarnation, Starts: l.starts, Recent: l.recentStarts(now), AgeMS: -1, Leaving: s.notices.leaving}
 		if l.own.at != 0 {
 			u.Named, u.Rate, u.AgeMS = l.own.named, float32(l.own.rate), now.Sub(l.own.at).Milliseconds()
 		}
@@ -254,8 +269,8 @@
 	return out
 }
 
-// applyLimitUse applies another VM's use of a server's limit.
-func (b *Balancer) applyLimitUse(now fleet.Time, from fleet.VMID, u LimitUse) {
+// applyNotice applies another VM's use of a server's limit.
+func (b *Balancer) applyNotice(now fleet.Time, from fleet.VMID, u ServerNotice) {
 	s := b.servers[u.Server]
 	if s == nil || s.entry.Incarnation != u.Incarnation || s.distance == otherRegion {
 		return
--- a/pkg/balance/limit_test.go
+++ b/pkg/balance/limit_test.go
@@ -47,7 +47,7 @@
 
 // limitUse is a report of another VM's use of server "a".
 func limitUse(starts, recent uint32) Report {
-	return Report{Zone: "addis-a", Limits: []LimitUse{{Server: "a", Starts: starts, Recent: recent, AgeMS: -1}}}
+	return Report{Zone: "addis-a", Notices: []ServerNotice{{Server: "a", Starts: starts, Recent: recent, AgeMS: -1}}}
 }
 
 // Guards against requests beyond a limit, and against a limit that is left unused.
@@ -94,15 +94,15 @@
 func TestImpossibleLimitsAreIgnored(t *testing.T) {
 	tb := newTestBalancer(t, "a")
 	for _, rate := range []float32{float32(math.NaN()), -1} {
-		tb.ApplyReport(tb.now, "vm1", Report{Zone: "addis-a", Limits: []LimitUse{{Server: "a", Named: true, Rate: rate}}})
+		tb.ApplyReport(tb.now, "vm1", Report{Zone: "addis-a", Notices: []ServerNotice{{Server: "a", Named: true, Rate: rate}}})
 		tb.ApplyDigest(tb.now, Digest{Zone: "addis-a", Servers: []ServerEstimate{{Server: "a", Risk: 0.1, Limit: rate}}})
 	}
 	for _, age := range []int64{math.MinInt64, math.MaxInt64} {
-		tb.ApplyReport(tb.now, "vm1", Report{Zone: "addis-a", Limits: []LimitUse{{Server: "a", Named: true, Rate: 1, AgeMS: age}}})
+		tb.ApplyReport(tb.now, "vm1", Report{Zone: "addis-a", Notices: []ServerNotice{{Server: "a", Named: true, Rate: 1, AgeMS: age}}})
 	}
 	limited, _, _ := tb.NoticeCounts(tb.now)
 	require.Zero(t, limited)
-	tb.ApplyReport(tb.now, "vm1", Report{Zone: "addis-a", Limits: []LimitUse{{Server: "a", Named: true, Rate: float32(math.Inf(1))}}})
+	tb.ApplyReport(tb.now, "vm1", Report{Zone: "addis-a", Notices: []ServerNotice{{Server: "a", Named: true, Rate: float32(math.Inf(1))}}})
 	require.Equal(t, result.OK, tb.choose(nil).Code)
 }
 
@@ -138,7 +138,7 @@
 	first, second := newLimitedBalancer(t, 2), newTestBalancer(t, "a")
 	zone, region := first.Reports(first.now.Add(time.Second))
 	for _, r := range []*Report{zone, region} {
-		require.Len(t, r.Limits, 1)
+		require.Len(t, r.Notices, 1)
 		second.ApplyReport(second.now, "vm0", *r)
 	}
 	require.InDelta(t, 20, second.countSent(10*time.Second, rateLimited(2)), 3)
--- a/pkg/balance/notice.go
+++ b/pkg/balance/notice.go
@@ -16,6 +16,17 @@
 	pausedUntil fleet.Time // it wants no request from this VM before
 }
 
+// departedServer is what a server said that is no longer registered.
+type departedServer struct {
+	incarnation int64
+	notices     notices
+	at          fleet.Time
+}
+
+// departedTTL is how long the notices of a departed server are kept for the case that its registration, lost
+// with the store, comes back.
+const departedTTL = 10 * time.Minute
+
 // HandleNotice records what the response to an attempt says about its server.
 func (b *Balancer) HandleNotice(now fleet.Time, id pool.WorkID, n pool.ServerNotice) {
 	a := b.attempts[id]
@@ -23,7 +34,11 @@
 		return
 	}
 	s := b.servers[a.server]
-	if s == nil || s.entry.Incarnation != a.incarnation {
+	if s == nil {
+		b.noticeOfDeparted(now, a, n)
+		return
+	}
+	if s.entry.Incarnation != a.incarnation {
 		return
 	}
 	if n.HasRateLimit {
@@ -31,31 +46,66 @@
 	}
 	if n.Leaving && !s.notices.leaving {
 		s.notices.leaving = true
+		b.noticeChanged(now, s)
 		b.noticeEvent("server_leaving", s, "named by the server", nil)
 	}
-	if until := now.Add(n.Pause); n.Pause > 0 && until > s.notices.pausedUntil {
-		s.notices.pausedUntil = until
+	if s.notices.pause(now, n.Pause) {
 		b.noticeEvent("server_paused", s, "named by the server", map[string]string{"for_ms": strconv.FormatInt(n.Pause.Milliseconds(), 10)})
 	}
 }
 
-func (b *Balancer) noticeEvent(kind fleet.EventKind, s *server, reason string, detail map[string]string) {
-	b.event(fleet.Event{Kind: kind, Service: s.entry.Server.Service, Server: s.entry.Server.ID, Reason: reason, Detail: detail})
+// pause keeps requests away for d, and reports whether that is longer than before.
+func (n *notices) pause(now fleet.Time, d time.Duration) bool {
+	if until := now.Add(d); d > 0 && until > n.pausedUntil {
+		n.pausedUntil = until
+		return true
+	}
+	return false
+}
+
+// noticeOfDeparted records a response that arrives when its server is no longer registered.
+func (b *Balancer) noticeOfDeparted(now fleet.Time, a *attempt, n pool.ServerNotice) {
+	d := b.departed[a.server]
+	if d.incarnation != a.incarnation {
+		d = departedServer{incarnation: a.incarnation}
+	}
+	d.at = now
+	d.notices.leaving = d.notices.leaving || n.Leaving
+	d.notices.pause(now, n.Pause)
+	b.departed[a.server] = d
+}
+
+// depart removes a server and keeps what it said.
+func (b *Balancer) depart(now fleet.Time, id fleet.ServerID) {
+	s := b.servers[id]
+	if s == nil {
+		return
+	}
+	if n := &s.notices; n.leaving || n.limit.named || now < n.pausedUntil {
+		b.departed[id] = departedServer{s.entry.Incarnation, *n, now}
+	}
+	b.remove(id)
+}
+
+// returned restores what a server said before its registration was removed, if it is still the same incarnation.
+func (b *Balancer) returned(s *server) {
+	id := s.entry.Server.ID
+	if d, ok := b.departed[id]; ok && d.incarnation == s.entry.Incarnation {
+		s.notices = d.notices
+	}
+	delete(b.departed, id)
 }
 
-// heldFor returns how long what the server said keeps requests of this VM away from it: 0 if it does not,
-// and math.MaxInt64 if it does for good.
-func (b *Balancer) heldFor(now fleet.Time, s *server) time.Duration {
-	l := &s.notices.limit
-	switch {
-	case !l.named:
-		return 0
-	case s.distance == otherRegion:
-		return max(0, l.updated.Add(remoteLimitTTL).Sub(now))
-	case !b.usesLimit(now, s):
-		return math.MaxInt64
+func (b *Balancer) forgetDeparted(now fleet.Time) {
+	for id, d := range b.departed {
+		if now.Sub(d.at) > departedTTL {
+			delete(b.departed, id)
+		}
 	}
-	return l.wait(now)
+}
+
+func (b *Balancer) noticeEvent(kind fleet.EventKind, s *server, reason string, detail map[string]string) {
+	b.event(fleet.Event{Kind: kind, Service: s.entry.Server.Service, Server: s.entry.Server.ID, Reason: reason, Detail: detail})
 }
 
 // MaySend reports whether an attempt with a delay may still be sent to its server. Otherwise the attempt
@@ -66,12 +116,12 @@
 		return false
 	}
 	s := b.servers[a.server]
-	return s != nil && s.entry.Incarnation == a.incarnation && !s.unusable(now)
+	return s != nil && s.entry.Incarnation == a.incarnation && !s.isLeaving(now)
 }
 
-// unusable reports whether the server is shutting down or wants no request from this VM.
-func (s *server) unusable(now fleet.Time) bool {
-	return s.entry.Server.State != fleet.StateLive || now < s.leavingUntil
+// isLeaving reports whether the server is shutting down, by its registration or its own word.
+func (s *server) isLeaving(now fleet.Time) bool {
+	return s.entry.Server.State != fleet.StateLive || now < s.leavingUntil || s.notices.leaving
 }
 
 // heldServers counts the servers that their notices keep out of a choice.
--- /dev/null
+++ b/pkg/balance/notice_test.go
@@ -0,0 +1,88 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/pool"
+	"github.com/fulmarbeam/fulmarbeam/pkg/registry"
+	"github.com/fulmarbeam/fulmarbeam/pkg/result"
+)
+
+// reregister removes a server from the registry and registers it again, with an incarnation that is newer by
+// step.
+func (tb *testBalancer) reregister(id fleet.ServerID, step int64) {
+	e := tb.servers[id].entry
+	tb.Apply(tb.now, []registry.Change{{ID: id}})
+	e.Incarnation += step
+	tb.Apply(tb.now, []registry.Change{{ID: id, Entry: &e}})
+}
+
+// Guards against requests to a server that said in a response that it is shutting down: later than the registry
+// knows, after its registration was lost and came back, and whatever the response was.
+func TestServerThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	for _, state := range []pool.EndState{pool.EndDraining, pool.EndFailed, pool.EndShed, pool.EndCallerError} {
+		tb := newTestBalancer(t, "a")
+		tb.respond(tb.choose(nil), state, pool.ServerNotice{Leaving: true})
+		for range 60 {
+			tb.now = tb.now.Add(time.Second)
+			tb.Tick(tb.now)
+			require.Equal(t, result.NoServer, tb.choose(nil).Code)
+		}
+		tb.reregister("a", 0)
+		require.Equal(t, result.NoServer, tb.choose(nil).Code, "the same incarnation")
+		tb.reregister("a", 1)
+		require.Equal(t, result.OK, tb.choose(nil).Code, "a new incarnation")
+	}
+}
+
+// Guards against a departure that is forgotten because the registration was removed before the response arrived.
+func TestDepartureAfterRemovalIsKept(t *testing.T) {
+	tb := newTestBalancer(t, "a")
+	d, e := tb.choose(nil), tb.servers["a"].entry
+	tb.Apply(tb.now, []registry.Change{{ID: "a"}})
+	tb.respond(d, pool.EndOK, pool.ServerNotice{Leaving: true})
+	tb.Apply(tb.now, []registry.Change{{ID: "a", Entry: &e}})
+	require.Equal(t, result.NoServer, tb.choose(nil).Code)
+}
+
+// Guards against VMs that each have to send a request to a leaving server to learn of it, and against a
+// departure that is held against the server's next incarnation.
+func TestOtherVMsLearnOfADeparture(t *testing.T) {
+	first, second := newTestBalancer(t, "a"), newTestBalancer(t, "a")
+	first.respond(first.choose(nil), pool.EndFailed, pool.ServerNotice{Leaving: true})
+	zone, region := first.Reports(first.now.Add(time.Second))
+	require.NotNil(t, region)
+	second.ApplyReport(second.now, "vm0", *zone)
+	second.now = second.now.Add(time.Minute)
+	require.Equal(t, result.NoServer, second.choose(nil).Code)
+	second.reregister("a", 1)
+	second.ApplyReport(second.now, "vm0", *zone)
+	require.Equal(t, result.OK, second.choose(nil).Code)
+}
+
+// Guards against a request that waits for a limit and is then sent to a server that paused or leaves meanwhile.
+func TestWaitingRequestHeedsNotices(t *testing.T) {
+	for _, n := range []pool.ServerNotice{{Leaving: true}} {
+		tb := newLimitedBalancer(t, 4)
+		waiting, other := tb.choose(nil), tb.choose(nil)
+		require.Positive(t, waiting.Delay)
+		require.True(t, tb.MaySend(tb.now, waiting.Work))
+		tb.respond(other, pool.EndShed, n)
+		require.False(t, tb.MaySend(tb.now, waiting.Work))
+	}
+}
+
+// Guards against memory of departed servers that grows without bound.
+func TestDepartedServersAreForgotten(t *testing.T) {
+	tb := newTestBalancer(t, "a")
+	tb.respond(tb.choose(nil), pool.EndFailed, pool.ServerNotice{Leaving: true})
+	tb.Apply(tb.now, []registry.Change{{ID: "a"}})
+	require.Len(t, tb.departed, 1)
+	tb.now = tb.now.Add(departedTTL + time.Second)
+	tb.Tick(tb.now)
+	require.Empty(t, tb.departed)
+}
--- a/pkg/balance/observe.go
+++ b/pkg/balance/observe.go
@@ -180,6 +180,7 @@
 			s.digestLoad = 0
 		}
 	}
+	b.forgetDeparted(now)
 	for id, p := range b.peers {
 		if now.Sub(p.lastReport) > peerTimeout {
 			b.removePeer(id)
@@ -219,8 +220,8 @@
 // ApplyReport applies a report received from another VM.
 func (b *Balancer) ApplyReport(now fleet.Time, from fleet.VMID, r Report) {
 	b.setLoads(now, from, r)
-	for _, u := range r.Limits {
-		b.applyLimitUse(now, from, u)
+	for _, u := range r.Notices {
+		b.applyNotice(now, from, u)
 	}
 	for _, o := range r.Observations {
 		s := b.servers[o.Server]
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -78,7 +78,7 @@
 		r.Observations = append(r.Observations, queued.observation)
 	}
 	q.observations, q.due, q.sent = q.observations[:0], 0, now
-	r.Loads, r.Limits = b.loads(scope), b.limitUses(now)
+	r.Loads, r.Notices = b.loads(scope), b.reportedNotices(now)
 	return r
 }
 
--- a/pkg/balance/types.go
+++ b/pkg/balance/types.go
@@ -84,10 +84,10 @@
 // Report carries a VM's observations since its last report to the same scope, all of its current
 // load that concerns the scope, and its recent use of rate limits.
 type Report struct {
-	Zone         fleet.Zone    `msgpack:"z"`
-	Loads        []Load        `msgpack:"l,omitempty"`
-	Observations []Observation `msgpack:"o,omitempty"`
-	Limits       []LimitUse    `msgpack:"m,omitempty"`
+	Zone         fleet.Zone     `msgpack:"z"`
+	Loads        []Load         `msgpack:"l,omitempty"`
+	Observations []Observation  `msgpack:"o,omitempty"`
+	Notices      []ServerNotice `msgpack:"m,omitempty"`
 }
 
 // Scope selects the recipients of a report.
--- a/pkg/gateway/datagram_test.go
+++ b/pkg/gateway/datagram_test.go
@@ -35,7 +35,7 @@
 func FuzzDatagram(f *testing.F) {
 	entry := &registry.Entry{Server: fleet.Server{ID: "s1", Service: "desk", Addr: "127.0.0.1:1", Region: "addis", Zone: "addis-a", State: fleet.StateLive}, Slots: 6}
 	report := balance.Report{Zone: "addis-a", Loads: []balance.Load{{Server: "s1", InFlight: 2}}, Observations: []balance.Observation{{Server: "s1", Outcome: balance.OutcomeFailed, AgeMS: 3}},
-		Limits: []balance.LimitUse{{Server: "s1", Starts: 3, Recent: 1, Named: true, Rate: 2.5, AgeMS: 4}}}
+		Notices: []balance.ServerNotice{{Server: "s1", Starts: 3, Recent: 1, Named: true, Rate: 2.5, AgeMS: 4}}}
 	digest := balance.Digest{Zone: "addis-b", Servers: []balance.ServerEstimate{{Server: "s1", Risk: 0.9, Load: 2, Limit: 1.5}}, Services: []balance.ServiceStats{{Service: "desk", Requests: 9}}}
 	member := mesh.Member{ID: "vm-b", Addr: "127.0.0.1:9", Region: "addis", Zone: "addis-a"}
 	for _, m := range []fleet.Message{
--- a/pkg/mesh/relay.go
+++ b/pkg/mesh/relay.go
@@ -113,7 +113,7 @@
 	switch {
 	case r.Report.Urgent():
 		delay = urgentRelayDelay
-	case len(r.Report.Loads) == 0 && len(r.Report.Observations) == 0 && len(r.Report.Limits) == 0:
+	case len(r.Report.Loads) == 0 && len(r.Report.Observations) == 0 && len(r.Report.Notices) == 0:
 		delay = idleRelayDelay
 	}
 	if at := now.Add(delay); q.due == 0 || at < q.due {
@@ -121,7 +121,7 @@
 	}
 	if i, ok := q.index[r.From]; ok && q.reports[i].Report.Zone == r.Report.Zone {
 		old := &q.reports[i].Report
-		old.Loads, old.Limits = r.Report.Loads, r.Report.Limits
+		old.Loads, old.Notices = r.Report.Loads, r.Report.Notices
 		old.Observations = slices.Concat(old.Observations, r.Report.Observations)
 		return
 	}
@@ -155,8 +155,8 @@
 }
 
 func (r RelayedReport) approximateSize() int {
-	const header, load, observation, limit = 48, 20, 32, 48
-	return header + load*len(r.Report.Loads) + observation*len(r.Report.Observations) + limit*len(r.Report.Limits)
+	const header, load, observation, notice = 48, 20, 32, 48
+	return header + load*len(r.Report.Loads) + observation*len(r.Report.Observations) + notice*len(r.Report.Notices)
 }
 
 // RelayedReport is a report with the VM that it is from.
