A server that asks for a pause with Retry-After gets no request of the VM until its end

Callers got refusals of a server that had asked for a pause, while others had room. Cause: a refusal counted as a full server for 200 ms, its Retry-After was not read. The pause now holds for the VM that was turned away (others are not meant), survives a lost registration, and a longer one is not cut short by a shorter one. If all servers pause, callers are refused at once with the time at which the first pause ends. The tests named after pauses failed before and pass.

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -154,6 +154,10 @@
 			if s.isLeaving(now) || slices.Contains(w.Exclude, s.entry.Server.ID) {
 				continue
 			}
+			if now < s.notices.pausedUntil {
+				held.add(s.notices.pausedUntil.Sub(now))
+				continue
+			}
 			wait := b.limitWait(now, s)
 			if wait > maxLimitWait {
 				held.add(wait)
--- a/pkg/balance/notice.go
+++ b/pkg/balance/notice.go
@@ -116,7 +116,7 @@
 		return false
 	}
 	s := b.servers[a.server]
-	return s != nil && s.entry.Incarnation == a.incarnation && !s.isLeaving(now)
+	return s != nil && s.entry.Incarnation == a.incarnation && !s.isLeaving(now) && now >= s.notices.pausedUntil
 }
 
 // isLeaving reports whether the server is shutting down, by its registration or its own word.
--- a/pkg/balance/notice_test.go
+++ b/pkg/balance/notice_test.go
@@ -64,9 +64,47 @@
 	require.Equal(t, result.OK, second.choose(nil).Code)
 }
 
+// Guards against requests to a server that wants none from this VM for a time, and against a refusal that does not
+// say when that time ends.
+func TestPausedServerGetsNoRequests(t *testing.T) {
+	tb := newTestBalancer(t, "a")
+	early := tb.choose(nil)
+	tb.respond(tb.choose(nil), pool.EndShed, pool.ServerNotice{Pause: 5 * time.Second})
+	end := tb.now.Add(5 * time.Second)
+	tb.respond(early, pool.EndShed, pool.ServerNotice{Pause: time.Second}) // shorter than the first
+	require.False(t, tb.MaySend(tb.now, early.Work))
+	for ; tb.now < end; tb.now = tb.now.Add(100 * time.Millisecond) {
+		d := tb.choose(idempotent)
+		require.Equal(t, result.NoCapacity, d.Code)
+		require.GreaterOrEqual(t, d.RetryAfter, end.Sub(tb.now))
+		tb.Tick(tb.now)
+	}
+	require.Equal(t, result.OK, tb.choose(nil).Code)
+}
+
+// Guards against a pause that is forgotten with the registration, or held against the next incarnation.
+func TestPauseOutlivesRegistration(t *testing.T) {
+	tb := newTestBalancer(t, "a")
+	tb.respond(tb.choose(nil), pool.EndShed, pool.ServerNotice{Pause: 5 * time.Second})
+	tb.reregister("a", 0)
+	require.Equal(t, result.NoCapacity, tb.choose(nil).Code)
+	tb.reregister("a", 1)
+	require.Equal(t, result.OK, tb.choose(nil).Code)
+}
+
+// Guards against other VMs that stay away because of a pause that is not theirs.
+func TestPauseAppliesToOneVM(t *testing.T) {
+	first, second := newTestBalancer(t, "a"), newTestBalancer(t, "a")
+	first.respond(first.choose(nil), pool.EndShed, pool.ServerNotice{Pause: time.Minute})
+	zone, _ := first.Reports(first.now.Add(time.Second))
+	second.ApplyReport(second.now, "vm0", *zone)
+	second.now = second.now.Add(time.Second)
+	require.Equal(t, result.OK, second.choose(nil).Code)
+}
+
 // Guards against a request that waits for a limit and is then sent to a server that paused or leaves meanwhile.
 func TestWaitingRequestHeedsNotices(t *testing.T) {
-	for _, n := range []pool.ServerNotice{{Leaving: true}} {
+	for _, n := range []pool.ServerNotice{{Pause: 5 * time.Second}, {Leaving: true}} {
 		tb := newLimitedBalancer(t, 4)
 		waiting, other := tb.choose(nil), tb.choose(nil)
 		require.Positive(t, waiting.Delay)
