Limits of other regions' servers are held or left, not waited for

Reading the change again: a VM of another region waited for the end of the 10 s for which it leaves a limit to others, as if a token were due then, and told a caller to come back after that time; and a zone's utilization counted the load of its limited servers as if all of its room were used, so that other regions left its other servers idle. Limited servers are now left out of the utilization, and VMs of a region share what they hear of far limits. Whether a VM uses a limit is decided once a second, and the walk over the region's VMs ends at the twelfth that precedes it. The tests of pkg/balance and pkg/fleetsim pass.

--- a/pkg/balance/digest.go
+++ b/pkg/balance/digest.go
@@ -139,19 +139,19 @@
 	return healthy, suspects
 }
 
-// utilization returns the requests in flight at the zone's servers over the slots of the
-// healthy ones.
+// utilization returns the requests in flight at the zone's servers without a rate limit over the
+// slots of the healthy ones.
 func (s *service) utilization(now fleet.Time) float64 {
 	load, slots := 0, 0
 	for _, srv := range s.servers {
 		if srv.distance != inZone || srv.entry.Server.State != fleet.StateLive {
 			continue
 		}
+		if srv.notices.limit.named {
+			continue // other regions do not use it
+		}
 		load += srv.load()
-		switch {
-		case srv.notices.limit.named:
-			slots += min(srv.load(), srv.entry.Slots) // what its limit leaves free is for this region
-		case srv.health.riskAt(now) < suspectThreshold:
+		if srv.health.riskAt(now) < suspectThreshold {
 			slots += srv.entry.Slots
 		}
 	}
--- a/pkg/balance/limit.go
+++ b/pkg/balance/limit.go
@@ -36,7 +36,7 @@
 	// time, before they hear of each other.
 	maxLimitUsers = 12
 	// limitUserInterval is the interval at which the users of a limit are determined.
-	limitUserInterval = 500 * time.Millisecond
+	limitUserInterval = time.Second
 	// maxReportedNotices bounds one report, so that it fits into a datagram.
 	maxReportedNotices = 48
 )
@@ -48,8 +48,8 @@
 	updated fleet.Time // when the latest response that names the limit, or shows that it has ended, was received; 0 for never
 	own     limitResponse
 
-	excluded      bool       // this VM is not one of the users of the limit
-	excludedSince fleet.Time // when excluded was determined; 0 for never
+	excluded  bool       // this VM is not one of the users of the limit
+	checkedAt fleet.Time // when excluded was determined; 0 for never
 
 	tokens     float64 // requests that may be sent now; negative while in debt
 	filled     fleet.Time
@@ -154,14 +154,17 @@
 func formatRate(r float64) string { return strconv.FormatFloat(r, 'f', 2, 64) }
 
 // limitWait returns how long the rate limit of a server keeps requests of this VM away from it: 0 if it does not, and
-// math.MaxInt64 if this VM does not use the limit.
+// math.MaxInt64 if this VM leaves the limit to others.
 func (b *Balancer) limitWait(now fleet.Time, s *server) time.Duration {
 	l := &s.notices.limit
 	switch {
 	case !l.named:
 		return 0
 	case s.distance == otherRegion:
-		return max(0, l.updated.Add(remoteLimitTTL).Sub(now))
+		if now < l.updated.Add(remoteLimitTTL) {
+			return math.MaxInt64
+		}
+		return 0
 	case !b.usesLimit(now, s):
 		return math.MaxInt64
 	}
@@ -171,24 +174,27 @@
 // usesLimit reports whether this VM is one of the users of the server's limit.
 func (b *Balancer) usesLimit(now fleet.Time, s *server) bool {
 	l := &s.notices.limit
-	if l.excludedSince == 0 || now.Sub(l.excludedSince) >= limitUserInterval {
-		l.excluded, l.excludedSince = b.limitRank(s) >= maxLimitUsers, max(now, 1)
+	if l.checkedAt == 0 || now.Sub(l.checkedAt) >= limitUserInterval {
+		l.excluded, l.checkedAt = b.isPreceded(s), max(now, 1)
 	}
 	return !l.excluded
 }
 
-// limitRank returns how many VMs of the region precede this VM as users of the server's limit: VMs of the
-// server's zone precede others, and a hash orders those of a group differently for each server.
-func (b *Balancer) limitRank(s *server) int {
+// isPreceded reports whether so many VMs of the region precede this VM as users of the server's limit that it is
+// not one of them. VMs of the server's zone precede others, and a hash orders those of a group differently for
+// each server.
+func (b *Balancer) isPreceded(s *server) bool {
 	hash := func(vm fleet.VMID) uint64 { return xxhash.Sum64String(string(vm) + "/" + string(s.entry.Server.ID)) }
-	own, n := hash(b.cfg.Self), 0
+	own, inOwnGroup, preceding := hash(b.cfg.Self), s.distance == inZone, 0
 	for id, p := range b.peers {
 		near := p.zone == s.entry.Server.Zone
-		if near == (s.distance == inZone) && hash(id) > own || near && s.distance != inZone {
-			n++
+		if near && !inOwnGroup || near == inOwnGroup && hash(id) > own {
+			if preceding++; preceding >= maxLimitUsers {
+				return true
+			}
 		}
 	}
-	return n
+	return false
 }
 
 // startLimited records an attempt of this VM at a server with a limit.
@@ -272,7 +278,7 @@
 // applyNotice applies another VM's use of a server's limit.
 func (b *Balancer) applyNotice(now fleet.Time, from fleet.VMID, u ServerNotice) {
 	s := b.servers[u.Server]
-	if s == nil || s.entry.Incarnation != u.Incarnation || s.distance == otherRegion {
+	if s == nil || s.entry.Incarnation != u.Incarnation {
 		return
 	}
 	if u.Leaving {
