Pools also heed a shutdown that a refusal or a failure announces

The end of an attempt carries the notice of its response, and the pool marks the server whatever the end was. TestLeavingServerGetsNoNewWork covers refusals, failed before and passes; the tests of pkg/pool pass.

--- a/pkg/node/engine.go
+++ b/pkg/node/engine.go
@@ -112,7 +112,7 @@
 	return d
 }
 
-// HandleNotice does nothing: a shutdown is reported with the attempt's end, and the default dialect has no other notices.
+// HandleNotice does nothing: the end of an attempt carries its notice, and the default dialect has none but a shutdown.
 func (n *Node) HandleNotice(pool.WorkID, pool.ServerNotice) {}
 
 // Release reports the end of an attempt and frees its slot.
--- a/pkg/pool/evidence.go
+++ b/pkg/pool/evidence.go
@@ -57,7 +57,8 @@
 		}
 	case EndShed:
 		row.client.avoidUntil = max(row.client.avoidUntil, now.Add(shedBackoff))
-	case EndDraining:
+	}
+	if e.Notice.Leaving || state == EndDraining {
 		c.markDraining(now, row)
 	}
 	if c.p.cfg.Policy == PolicyLocalEjection {
--- a/pkg/pool/floor_test.go
+++ b/pkg/pool/floor_test.go
@@ -129,13 +129,13 @@
 }
 
 // Guards against new work on a server that is shutting down, whether the list or only the
-// server's own response reports it.
+// server's own response reports it, a refusal included.
 func TestLeavingServerGetsNoNewWork(t *testing.T) {
 	s := newSim(t, 4, 8, 20, defaultFloor, PolicyCredits)
 	s.rate = 1500
 	s.run(8 * time.Second)
-	listed, reported := s.servers["s03"], s.servers["s05"]
-	reported.draining = true
+	listed, reported, refusing := s.servers["s03"], s.servers["s05"], s.servers["s07"]
+	reported.draining, refusing.drainSheds = true, true
 	listed.row.State = fleet.StateLeaving
 	dir := s.directory()
 	at := s.now
@@ -143,7 +143,7 @@
 		s.after(time.Duration(i)*250*ms, func() { s.at(vm, func() { vm.p.SetDirectory(s.now, dir) }) }) // the list lags by up to 2 s
 	}
 	s.run(6 * time.Second)
-	for _, srv := range []*simServer{listed, reported} {
+	for _, srv := range []*simServer{listed, reported, refusing} {
 		last := srv.regularWork[len(srv.regularWork)-1].Sub(at)
 		t.Logf("%s: last work %v after the change of state", srv.row.ID, last)
 		require.Less(t, last, 3*time.Second)
--- a/pkg/pool/sim_test.go
+++ b/pkg/pool/sim_test.go
@@ -69,6 +69,7 @@
 	regularWork []fleet.Time
 	served      int
 	draining    bool                        // responds that it is shutting down
+	drainSheds  bool                        // the same in refusals
 	unreachable bool                        // accepts no connection
 	grayAt      func(at time.Duration) bool // whether fail and slow apply at this time; nil means always
 }
@@ -352,6 +353,10 @@
 		s.after(networkDelay/3, func() { s.end(vm, q, End{State: EndDraining, Duration: ms}) })
 		return
 	}
+	if srv.drainSheds {
+		s.after(networkDelay/3, func() { s.end(vm, q, End{State: EndShed, Duration: ms, Notice: ServerNotice{Leaving: true}}) })
+		return
+	}
 	if srv.running >= s.slots {
 		s.sheds++
 		s.after(networkDelay/3, func() { s.end(vm, q, End{State: EndShed, Duration: ms}) })
