Impossible rates from other VMs, and requests counted twice after a wait

Found by reading the change: a rate of +Inf in a report made the token count NaN, whose conversion to a wait differs between processors; now a rate above 2^30 is ignored, as NaN and negative ones were (TestImpossibleLimitsAreIgnored covers it). A request whose server began to leave while it waited for a limit was counted as a second request of its service, which raises the retry budget; its former server is now excluded from the second choice.

--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -104,7 +104,7 @@
 	departed     map[fleet.ServerID]departedServer // servers with notices that are no longer registered
 
 	limitedStarts int                         // attempts of this VM at servers that named a rate limit
-	noticeChanges map[fleet.ServerID]struct{} // servers with changes of their limits that other VMs are told
+	noticeChanges map[fleet.ServerID]struct{} // servers with changes of their notices that other VMs are told
 
 	zone, region reportQueue
 	events       []fleet.Event
--- a/pkg/balance/digest.go
+++ b/pkg/balance/digest.go
@@ -105,7 +105,7 @@
 		if s.distance != inZone {
 			s.digestLoad, s.digestLoadUpdated = max(0, e.Load-s.local), now
 		}
-		if e.Limit >= 0 {
+		if isRate(e.Limit) {
 			s.notices.limit.applyDigestLimit(now, e.Limit)
 		}
 		if s.lastOutcome == 0 || now.Sub(s.lastOutcome) >= ownOutcomeTTL {
--- a/pkg/balance/limit.go
+++ b/pkg/balance/limit.go
@@ -37,6 +37,8 @@
 	maxLimitUsers = 12
 	// limitUserInterval is the interval at which the users of a limit are determined.
 	limitUserInterval = time.Second
+	// maxReportedRate is the largest rate, in requests per second, that is taken from a message.
+	maxReportedRate = 1 << 30
 	// maxReportedNotices bounds one report, so that it fits into a datagram.
 	maxReportedNotices = 48
 )
@@ -56,7 +58,6 @@
 	starts     uint32                // attempts of this VM since it knows the limit
 	recent     []fleet.Time          // when those of the last noticeReportTTL were started
 	peerStarts map[fleet.VMID]uint32 // the same of other VMs, by their last reports
-	changed    fleet.Time            // latest change that other VMs are told
 }
 
 // limitResponse is what the latest response to this VM says about a server's limit.
@@ -89,7 +90,7 @@
 		return
 	}
 	if !named {
-		*l = rateLimit{updated: at, own: l.own, changed: l.changed}
+		*l = rateLimit{updated: at, own: l.own}
 		return
 	}
 	if !l.named {
@@ -208,9 +209,9 @@
 	b.noticeChanged(now, s)
 }
 
-// noticeChanged schedules reports of a server's limit and its use.
+// noticeChanged schedules reports of what a server said and of the use of its limit.
 func (b *Balancer) noticeChanged(now fleet.Time, s *server) {
-	s.notices.limit.changed = now
+	s.notices.changed = now
 	b.noticeChanges[s.entry.Server.ID] = struct{}{}
 	b.zone.schedule(now)
 	b.region.schedule(now)
@@ -249,19 +250,19 @@
 	return served && e.RespondedAt != 0 && !e.Notice.HasRateLimit && !e.Notice.InvalidRateLimit
 }
 
-// limitUses returns the recent changes of this region's servers with a limit, for a report.
+// reportedNotices returns, for a report, what recently changed in the notices of servers and the use of their limits.
 func (b *Balancer) reportedNotices(now fleet.Time) []ServerNotice {
 	var recent []*server
 	for id := range b.noticeChanges {
 		s := b.servers[id]
-		if s == nil || now.Sub(s.notices.limit.changed) > noticeReportTTL {
+		if s == nil || now.Sub(s.notices.changed) > noticeReportTTL {
 			delete(b.noticeChanges, id)
 			continue
 		}
 		recent = append(recent, s)
 	}
 	slices.SortFunc(recent, func(x, y *server) int {
-		return cmp.Or(cmp.Compare(y.notices.limit.changed, x.notices.limit.changed), cmp.Compare(x.entry.Server.ID, y.entry.Server.ID))
+		return cmp.Or(cmp.Compare(y.notices.changed, x.notices.changed), cmp.Compare(x.entry.Server.ID, y.entry.Server.ID))
 	})
 	var out []ServerNotice
 	for _, s := range recent[:min(len(recent), maxReportedNotices)] {
@@ -275,7 +276,7 @@
 	return out
 }
 
-// applyNotice applies another VM's use of a server's limit.
+// applyNotice applies what another VM reports of a server's notices and of its use of the limit.
 func (b *Balancer) applyNotice(now fleet.Time, from fleet.VMID, u ServerNotice) {
 	s := b.servers[u.Server]
 	if s == nil || s.entry.Incarnation != u.Incarnation {
@@ -285,7 +286,7 @@
 		s.notices.leaving = true
 	}
 	l := &s.notices.limit
-	if u.AgeMS >= 0 && u.AgeMS <= maxObservationAge.Milliseconds() && u.Rate >= 0 {
+	if u.AgeMS >= 0 && u.AgeMS <= maxObservationAge.Milliseconds() && isRate(u.Rate) {
 		l.set(now, now.Add(-time.Duration(u.AgeMS)*time.Millisecond), float64(u.Rate), u.Named)
 	}
 	if l.named {
@@ -293,6 +294,9 @@
 	}
 }
 
+// isRate reports whether a rate in a message is possible; comparisons with NaN are false.
+func isRate(r float32) bool { return r >= 0 && r <= maxReportedRate }
+
 // digestLimit returns a server's limit for a digest; 0 if it names none.
 func (l *rateLimit) digestLimit() float32 {
 	if !l.named {
--- a/pkg/balance/limit_test.go
+++ b/pkg/balance/limit_test.go
@@ -93,7 +93,7 @@
 // Guards against impossible values in reports and digests.
 func TestImpossibleLimitsAreIgnored(t *testing.T) {
 	tb := newTestBalancer(t, "a")
-	for _, rate := range []float32{float32(math.NaN()), -1} {
+	for _, rate := range []float32{float32(math.NaN()), float32(math.Inf(1)), math.MaxFloat32, -1} {
 		tb.ApplyReport(tb.now, "vm1", Report{Zone: "addis-a", Notices: []ServerNotice{{Server: "a", Named: true, Rate: rate}}})
 		tb.ApplyDigest(tb.now, Digest{Zone: "addis-a", Servers: []ServerEstimate{{Server: "a", Risk: 0.1, Limit: rate}}})
 	}
@@ -102,7 +102,6 @@
 	}
 	limited, _, _ := tb.NoticeCounts(tb.now)
 	require.Zero(t, limited)
-	tb.ApplyReport(tb.now, "vm1", Report{Zone: "addis-a", Notices: []ServerNotice{{Server: "a", Named: true, Rate: float32(math.Inf(1))}}})
 	require.Equal(t, result.OK, tb.choose(nil).Code)
 }
 
--- a/pkg/balance/notice.go
+++ b/pkg/balance/notice.go
@@ -14,6 +14,7 @@
 	limit       rateLimit
 	leaving     bool       // it is shutting down
 	pausedUntil fleet.Time // it wants no request from this VM before
+	changed     fleet.Time // latest change that other VMs are told
 }
 
 // departedServer is what a server said that is no longer registered.
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/document"
@@ -50,6 +51,7 @@
 		}
 		g.Release(d.Work, pool.End{State: pool.EndAbandoned})
 		work.ID, work.LatencyObjective = g.NewWorkID(), work.LatencyObjective-d.Delay
+		work.Exclude = append(slices.Clip(work.Exclude), d.Server.ID)
 	}
 	return pool.Decision{Work: work.ID, Code: result.CallerGone}
 }
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -37,7 +37,7 @@
 	Work       WorkID
 	Server     fleet.Server // set when Code is result.OK
 	Code       result.Code
-	Delay      time.Duration   // time after which the work may be sent to the server
+	Delay      time.Duration   // time from the decision until the work may be sent; over when proxy.Engine returns the decision
 	Trial      bool            // the server is ejected and the request tests its recovery
 	Queued     time.Duration   // time spent in the queue
 	RetryAfter time.Duration   // on refusal: suggested Retry-After; 0 means none
--- a/pkg/proxy/notice.go
+++ b/pkg/proxy/notice.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -43,7 +44,8 @@
 		return 0, false
 	}
 	v, err := strconv.ParseFloat(values[0], 64)
-	if err != nil && !errors.Is(err, strconv.ErrRange) || !(v >= 0) { // NaN is not >= 0
+	tooLarge := errors.Is(err, strconv.ErrRange)
+	if err != nil && !tooLarge || math.IsInf(v, 0) && !tooLarge || !(v >= 0) { // NaN is not >= 0
 		return 0, false
 	}
 	return min(v, limit), true
--- a/pkg/proxy/notice_test.go
+++ b/pkg/proxy/notice_test.go
@@ -37,6 +37,7 @@
 		{503, []string{"X-Limit", "1e400"}, limited(maxRateLimit)},
 		{200, []string{"X-Limit", "-1"}, invalid},
 		{200, []string{"X-Limit", "NaN"}, invalid},
+		{200, []string{"X-Limit", "Infinity"}, invalid},
 		{200, []string{"X-Limit", ""}, invalid},
 		{200, []string{"X-Limit", "4 requests"}, invalid},
 		{200, []string{"X-Limit", "4", "X-Limit", "5"}, invalid},
