A late response of an older incarnation no longer hides a departure

TestNoticesHoldInAnyOrderOfEvents plays registrations, removals, restarts, waits, reports and late responses in any order. On its first seed a server that had said that it leaves got a request again: while it was not registered, a late response of its incarnation before replaced what was kept of the later one, and its registration came back without the departure. Responses of older incarnations are now ignored there.

--- a/pkg/balance/notice.go
+++ b/pkg/balance/notice.go
@@ -66,8 +66,11 @@
 
 // noticeOfDeparted records a response that arrives when its server is no longer registered.
 func (b *Balancer) noticeOfDeparted(now fleet.Time, a *attempt, n pool.ServerNotice) {
-	d := b.departed[a.server]
-	if d.incarnation != a.incarnation {
+	d, known := b.departed[a.server]
+	if known && a.incarnation < d.incarnation {
+		return
+	}
+	if a.incarnation != d.incarnation {
 		d = departedServer{incarnation: a.incarnation}
 	}
 	d.at = now
--- a/pkg/balance/notice_test.go
+++ b/pkg/balance/notice_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -124,3 +125,71 @@
 	tb.Tick(tb.now)
 	require.Empty(t, tb.departed)
 }
+
+// Guards against a departure or a pause that some order of registrations, removals, restarts, waits, reports and late
+// responses makes a VM forget.
+func TestNoticesHoldInAnyOrderOfEvents(t *testing.T) {
+	type heard struct {
+		leaving     bool
+		pausedUntil fleet.Time
+	}
+	for seed := range uint64(100) {
+		rnd := rng(seed + 1)
+		tb := newTestBalancer(t)
+		entries := make(map[fleet.ServerID]registry.Entry)
+		for _, id := range []string{"a", "b", "c"} {
+			tb.putServer(id, "addis", "addis-a", fleet.StateLive)
+			entries[fleet.ServerID(id)] = tb.servers[fleet.ServerID(id)].entry
+		}
+		told := make(map[string]heard) // by server and incarnation
+		key := func(e registry.Entry) string { return fmt.Sprint(e.Server.ID, " ", e.Incarnation) }
+		var open []pool.Decision
+		sentTo := make(map[pool.WorkID]registry.Entry)
+		for range 600 {
+			tb.now = tb.now.Add(time.Duration(rnd.next() % 200e6))
+			id := fleet.ServerID([]string{"a", "b", "c"}[rnd.next()%3])
+			e := entries[id]
+			switch rnd.next() % 12 {
+			case 0:
+				tb.Apply(tb.now, []registry.Change{{ID: id}})
+			case 1, 2:
+				tb.Apply(tb.now, []registry.Change{{ID: id, Entry: &e}})
+			case 3:
+				e.Incarnation++
+				entries[id] = e
+				tb.Apply(tb.now, []registry.Change{{ID: id, Entry: &e}})
+			case 4:
+				tb.ApplyReport(tb.now, "vm1", Report{Zone: "addis-a", Notices: []ServerNotice{{Server: id, Incarnation: e.Incarnation, Starts: uint32(rnd.next() % 9), Named: rnd.next()%2 == 0, Rate: 3}}})
+			case 5, 6, 7:
+				if len(open) == 0 {
+					continue
+				}
+				i := int(rnd.next() % uint64(len(open)))
+				d, n := open[i], pool.ServerNotice{HasRateLimit: rnd.next()%2 == 0, RateLimit: 20, Leaving: rnd.next()%8 == 0}
+				if rnd.next()%4 == 0 {
+					n.Pause = time.Duration(rnd.next() % 3e9)
+				}
+				open = append(open[:i], open[i+1:]...)
+				h := told[key(sentTo[d.Work])]
+				told[key(sentTo[d.Work])] = heard{h.leaving || n.Leaving, max(h.pausedUntil, tb.now.Add(n.Pause))}
+				tb.respond(d, []pool.EndState{pool.EndOK, pool.EndFailed, pool.EndShed, pool.EndDraining}[rnd.next()%4], n)
+			default:
+				d := tb.choose(nil)
+				if d.Code != result.OK {
+					continue
+				}
+				target := tb.servers[d.Server.ID].entry
+				tb.now = tb.now.Add(d.Delay)
+				if d.Delay > 0 && !tb.MaySend(tb.now, d.Work) {
+					tb.End(tb.now, d.Work, pool.End{State: pool.EndAbandoned})
+					continue
+				}
+				h := told[key(target)]
+				require.False(t, h.leaving, "seed %d: sent to %s, which leaves", seed, key(target))
+				require.GreaterOrEqual(t, tb.now, h.pausedUntil, "seed %d: sent to %s, which pauses", seed, key(target))
+				sentTo[d.Work], open = target, append(open, d)
+			}
+			tb.Tick(tb.now)
+		}
+	}
+}
