--- a/cmd/fulmarbench/decisions.go
+++ b/cmd/fulmarbench/decisions.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
@@ -49,18 +50,23 @@
 	}
 	out := cmd.OutOrStdout()
 	var total fleetsim.Ratios
+	worstOverLimit, limitUse := math.Inf(-1), 0.0
 	for i := range runs {
 		r, err := fleetsim.Run(s, seed+uint64(i))
 		if err != nil {
 			return usageError(err)
 		}
 		total.Add(r.Ratios)
+		worstOverLimit, limitUse = max(worstOverLimit, r.OverLimit), limitUse+r.LimitUse
 		if asJSON {
 			if err := json.NewEncoder(out).Encode(r); err != nil {
 				return errors.Trace(err)
 			}
 		}
 	}
+	if !asJSON && s.Limits != nil {
+		fmt.Fprintf(out, "%-10s rate limits: worst window %+.1f requests against the bound, %.2f of the limits used\n", s.Name, worstOverLimit, limitUse/float64(runs))
+	}
 	if !asJSON {
 		mean := total.Mean(runs)
 		_, err = fmt.Fprintf(out, "%-10s %d runs: in time %.4f by weight, late %.4f, unserved %.4f, repeats %.4f, KB/s between zones %.1f, between regions %.1f\n",
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -111,7 +111,7 @@
 	{NoRoute, "no_route", OutcomeNotRun, 404, 2, "no route matches host, path and method"},
 	{MethodNotAllowed, "method_not_allowed", OutcomeNotRun, 405, 2, "a route matches host and path but not the method"},
 	{WorkspaceUnknown, "workspace_unknown", OutcomeNotRun, 400, 2, "the document does not hold the workspace, so its idempotency key has no home"},
-	{NoCapacity, "no_capacity", OutcomeNotRun, 503, 3, "the pool is full and heavier work goes first"},
+	{NoCapacity, "no_capacity", OutcomeNotRun, 503, 3, "the pool is full and heavier work goes first, or its servers are at their rate limits or pause"},
 	{DeadlineTooClose, "deadline_too_close", OutcomeNotRun, 503, 3, "the work cannot finish before its deadline"},
 	{NoServer, "no_server", OutcomeNotRun, 503, 3, "the pool has no usable server"},
 	{Draining, "draining", OutcomeNotRun, 503, 3, "this VM is shutting down"},
