--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -27,8 +28,8 @@
 
 // cases are the scripts by name. Each reports whether its rule was broken.
 var cases = map[string]func(p *play) (broken bool, err error){
-	"early-answer":       earlyAnswer,
-	"early-stop":         earlyStop,
+	"early-answer": earlyAnswer,
+	"early-stop":   earlyStop,
 }
 
 func main() {
@@ -81,3 +82,5 @@
 func spread(mean time.Duration) func() time.Duration {
 	return func() time.Duration { return time.Duration(float64(mean) * (0.6 + 0.8*rand.Float64())) }
 }
+
+var errNotServed = errors.New("the deployment serves too little without the disruption")
