--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,8 +28,11 @@
 
 // cases are the scripts by name. Each reports whether its rule was broken.
 var cases = map[string]func(p *play) (broken bool, err error){
-	"early-answer": earlyAnswer,
-	"early-stop":   earlyStop,
+	"early-answer":       earlyAnswer,
+	"early-stop":         earlyStop,
+	"limit-other-region": limitOtherRegion,
+	"limit-restart":      limitRestart,
+	"limit-split":        limitSplit,
 }
 
 func main() {
