--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -35,6 +35,7 @@
 	waiting  int
 	running  chan struct{}
 	seq      int
+	state    string
 	born     int64
 	stop     chan struct{}
 }
@@ -46,7 +47,7 @@
 		return nil, err
 	}
 	s := &server{id: id, service: service, zone: zone, slots: slots, queue: 24, work: work, store: st, addr: l.Addr().String(),
-		running: make(chan struct{}, slots), born: time.Now().UnixMilli(), stop: make(chan struct{})}
+		running: make(chan struct{}, slots), born: time.Now().UnixMilli(), stop: make(chan struct{}), state: "ready"}
 	s.srv = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.srv.Serve(l) }()
 	s.beat()
@@ -66,11 +67,11 @@
 func (s *server) beat() {
 	s.mu.Lock()
 	s.seq++
-	seq := s.seq
+	seq, state := s.seq, s.state
 	s.mu.Unlock()
 	s.store.put("keyed.servers", s.id, fmt.Appendf(nil,
-		`{"address":%q,"born":%d,"info":{"service":%q,"zone":%q,"version":"v1","slots":%d},"status":{"state":"ready","seq":%d,"warmupLeftS":0}}`,
-		s.addr, s.born, s.service, s.zone, s.slots, seq))
+		`{"address":%q,"born":%d,"info":{"service":%q,"zone":%q,"version":"v1","slots":%d},"status":{"state":%q,"seq":%d,"warmupLeftS":0}}`,
+		s.addr, s.born, s.service, s.zone, s.slots, state, seq))
 }
 
 // setLimit makes the server name a limit in its answers from now on.
@@ -83,6 +84,15 @@
 	}
 }
 
+// drain makes the server report that it is draining, and returns when the store has accepted that.
+func (s *server) drain() time.Time {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	s.beat()
+	return time.Now()
+}
+
 func (s *server) close() {
 	close(s.stop)
 	_ = s.srv.Close()
