--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts start, into review/bin. Needs no network: the module has no dependencies.
+# Builds the stand-ins that the scripts start, as review/standins. Needs no network: the module has no dependencies.
 set -euo pipefail
-cd "$(dirname "$0")/rig"
-GOFLAGS="" GOWORK=off CGO_ENABLED=0 go build -o ../bin/rig .
+cd "$(dirname "$0")"
+GOFLAGS="" GOWORK=off CGO_ENABLED=0 go build -o standins .
--- a/review/rig/case_early.go
+++ b/review/case_early.go
@@ -148,6 +148,9 @@
 	return f, list, stop, nil
 }
 
+// slowTime is how long servers are slow; the days of the site have 9 s at most.
+const slowTime = 9 * time.Second
+
 // earlyAnswer: servers answer without a length, before they have read a long body. Two of five turn slow.
 func earlyAnswer(p *play) (bool, error) {
 	body := strings.Repeat("b", answerSize)
@@ -164,7 +167,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	var sent, whole, part, other atomic.Int64
-	end := time.Now().Add(30 * time.Second)
+	end := time.Now().Add(20 * time.Second)
 	for w := range 6 {
 		wg.Add(1)
 		go func() {
@@ -190,6 +193,10 @@
 		servers[0].slow.Store(true)
 		servers[1].slow.Store(true)
 		say("%s and %s turn slow at %.3f", servers[0].id, servers[1].id, since(time.Now()))
+		time.Sleep(slowTime)
+		servers[0].slow.Store(false)
+		servers[1].slow.Store(false)
+		note("script", "the slow servers are well again")
 	}
 	wg.Wait()
 	say("%d requests: %d with the whole answer, %d with a part that looks complete, %d others", sent.Load(), whole.Load(), part.Load(), other.Load())
--- a/review/rig/case_foreign.go
+++ b/review/case_foreign.go
@@ -26,7 +26,7 @@
 	f.add("edge-east-a-2", "east-a")
 	f.seeds = []string{f.machines[0].ip + ":1"}
 	var servers []*server
-	for i := range 3 {
+	for i := range 5 {
 		s, err := startServer(st, fmt.Sprintf("i-yard-%d", i+1), "yard", "east-a", 6, spread(170*time.Millisecond))
 		if err != nil {
 			return false, err
--- a/review/rig/case_limit.go
+++ b/review/case_limit.go
@@ -14,6 +14,9 @@
 	return nil
 }
 
+// limitTime is how long servers name a limit.
+const limitTime = 19 * time.Second
+
 // limitOtherRegion: the servers of a service stand in one region, its callers in the other. The servers name a limit.
 func limitOtherRegion(p *play) (bool, error) {
 	const rate, limit = 0.5, "0.5"
@@ -36,7 +39,7 @@
 	f.seeds = []string{f.machines[0].ip + ":1", west[0].ip + ":1"}
 	var servers []*server
 	for _, id := range []string{"i-yard-1", "i-yard-2"} {
-		s, err := startServer(st, id, "yard", "east-a", 6, spread(170*time.Millisecond))
+		s, err := startServer(st, id, "yard", "east-a", 6, spread(320*time.Millisecond))
 		if err != nil {
 			return false, err
 		}
@@ -44,7 +47,7 @@
 		servers = append(servers, s)
 	}
 	st.put("keyed.op", "config", configuration(1, []string{"yard"},
-		[]route{{"book", "/book/", "unsafe", "yard", 2.5, 0.8, 2, 0}}))
+		[]route{{"book", "/book/", "unsafe", "yard", 4, 1.2, 2, 1}}))
 	for _, m := range f.machines {
 		if err := f.start(m); err != nil {
 			return false, err
@@ -56,7 +59,7 @@
 	time.Sleep(3 * time.Second)
 	c := newClients(f)
 	targets := func() []*machine { return west }
-	c.load(35, http.MethodPut, "/book/1", 5*time.Second, 3, targets)
+	c.load(28, http.MethodPost, "/book/1", 8*time.Second, 3, targets)
 	time.Sleep(8 * time.Second)
 	if err := enoughServed(c); err != nil {
 		return false, err
@@ -67,7 +70,7 @@
 		}
 		say("the servers name Server-Limit %s from %.3f", limit, since(time.Now()))
 	}
-	time.Sleep(36 * time.Second)
+	time.Sleep(limitTime)
 	c.stop()
 	broken := false
 	for _, s := range servers {
@@ -76,8 +79,8 @@
 	return broken, nil
 }
 
-// restarts is how often the machine is killed and started again.
-const restarts = 5
+// restartsAt is when the machine is killed, counted from the first answer that names the limit.
+var restartsAt = []time.Duration{5200 * time.Millisecond, 13200 * time.Millisecond}
 
 // limitRestart: two zones of a region; the machine in the zone of a server with a limit is killed and started again.
 func limitRestart(p *play) (bool, error) {
@@ -126,25 +129,26 @@
 	}
 	s.setLimit(limit)
 	say("the server names Server-Limit %s from %.3f", limit, since(time.Now()))
-	time.Sleep(12 * time.Second)
+	named := time.Now()
 	excused := map[string]bool{}
-	if p.trouble {
+	for _, at := range restartsAt {
+		time.Sleep(time.Until(named.Add(at)))
+		if !p.trouble {
+			continue
+		}
 		excused[b1.name] = true
-		for range restarts {
-			bDown.Store(true)
-			b1.kill()
-			time.Sleep(time.Second)
-			if err := f.start(b1); err != nil {
-				return false, err
-			}
-			for !f.ready(b1) {
-				time.Sleep(20 * time.Millisecond)
-			}
-			bDown.Store(false)
-			time.Sleep(9 * time.Second)
+		bDown.Store(true)
+		b1.kill()
+		time.Sleep(time.Second)
+		if err := f.start(b1); err != nil {
+			return false, err
+		}
+		for !f.ready(b1) {
+			time.Sleep(20 * time.Millisecond)
 		}
+		bDown.Store(false)
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(time.Until(named.Add(limitTime)))
 	c.stop()
 	return checkLimit(s, rate, c, excused), nil
 }
--- a/review/rig/main.go
+++ b/review/main.go
@@ -1,4 +1,4 @@
-// Command rig plays the scripts of this review: it starts the project's program with the command of the deploy file, as
+// Command standins plays the scripts of this review: it starts the project's program with the command of the deploy file, as
 // separate processes on loopback addresses, together with stand-ins of the platform's store, of servers and of clients.
 // It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 package main
@@ -37,7 +37,7 @@
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE REPOSITORY RECORD")
+		fmt.Fprintln(os.Stderr, "usage: standins CASE REPOSITORY RECORD")
 		os.Exit(exitFailed)
 	}
 	os.Exit(run(os.Args[1], os.Args[2], os.Args[3]))
