--- a/pkg/document/types.go
+++ b/pkg/document/types.go
@@ -42,6 +42,8 @@
 	// of requests without a workspace. It is fixed after genesis; 0 means all, and
 	// Regions is then fixed as well.
 	KeyRegions int `json:"key_regions,omitempty"`
+	// APIKeys requires the API key of a workspace with each request, except on public routes.
+	APIKeys bool `json:"api_keys,omitempty"`
 }
 
 // Team is a group of operators and the sections that it may edit.
@@ -112,6 +114,7 @@
 	Attempts         int           `json:"attempts,omitempty"` // maximum number of servers that a request is sent to; replaces Retries when set
 	MaxBody          int64         `json:"max_body,omitempty"` // bytes
 	WorkspaceHeader  string        `json:"workspace_header,omitempty"`
+	Public           bool          `json:"public,omitempty"` // requests need no API key
 }
 
 // Backend is one of the services that a route splits its requests over.
@@ -124,6 +127,16 @@
 type Workspace struct {
 	Home   fleet.Region `json:"home"`
 	Weight float64      `json:"weight,omitempty"` // multiplies the route's weight; default 1
+	// Keys are the SHA-256 hashes of the workspace's API keys, in hexadecimal.
+	Keys     []string `json:"keys,omitempty"`
+	Quota    Quota    `json:"quota,omitzero"`
+	Priority int      `json:"priority,omitempty"` // takes precedence over the route's; 0 is the most urgent
+}
+
+// Quota bounds a workspace's requests over all VMs together.
+type Quota struct {
+	Rate  float64 `json:"rate"`            // requests per second; 0 means no limit
+	Burst float64 `json:"burst,omitempty"` // requests beyond the rate that an idle workspace may send at once
 }
 
 // Duration is a time.Duration that is encoded in JSON as a string such as "250ms".
--- a/pkg/gateway/engine.go
+++ b/pkg/gateway/engine.go
@@ -116,3 +116,9 @@
 
 // Draining reports whether shutdown has begun.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
+
+// TakeQuota admits every request: no quota is enforced yet.
+func (g *Gateway) TakeQuota(string) (retryAfter time.Duration, ok bool) { return 0, true }
+
+// ReturnQuota does nothing, because TakeQuota takes nothing.
+func (g *Gateway) ReturnQuota(string) {}
--- a/pkg/node/engine.go
+++ b/pkg/node/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/document"
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
@@ -168,6 +169,12 @@
 	n.withCore(func(now fleet.Time) { n.core.Finish(now, id, state, response) })
 }
 
+// TakeQuota admits every request: quotas are enforced by package gateway only.
+func (n *Node) TakeQuota(string) (retryAfter time.Duration, ok bool) { return 0, true }
+
+// ReturnQuota does nothing, because TakeQuota takes nothing.
+func (n *Node) ReturnQuota(string) {}
+
 // RecordEvent writes an event to the journal and to the log.
 func (n *Node) RecordEvent(event fleet.Event) {
 	event.VM = n.self.VM
--- a/pkg/pool/types.go
+++ b/pkg/pool/types.go
@@ -23,13 +23,16 @@
 	Weight           float64 // value of the work for admission
 	Deadline         fleet.Time
 	Idempotent       bool
-	LatencyObjective time.Duration    // latency objective relative to submission; 0 means none
-	Priority         int              // 0 is the most urgent
-	MaxRetries       int              // number of retries on other servers allowed after a failure
-	Bytes            int              // size of the request body
-	RequestID        string           // the caller's request ID, for logs
-	IsRetry          bool             // the attempt counts against the retry budget
-	Exclude          []fleet.ServerID // servers that this request has already tried
+	LatencyObjective time.Duration // latency objective relative to submission; 0 means none
+	Workspace        string        // the caller's workspace; empty without one
+	// WorkspacePriority is the workspace's priority, which takes precedence over Priority; 0 is the most urgent.
+	WorkspacePriority int
+	Priority          int              // of the route; 0 is the most urgent
+	MaxRetries        int              // number of retries on other servers allowed after a failure
+	Bytes             int              // size of the request body
+	RequestID         string           // the caller's request ID, for logs
+	IsRetry           bool             // the attempt counts against the retry budget
+	Exclude           []fleet.ServerID // servers that this request has already tried
 }
 
 // Decision is the result of submitting work: a server to run it on, or a refusal code.
--- a/pkg/proxy/engine.go
+++ b/pkg/proxy/engine.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/document"
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
@@ -29,6 +30,11 @@
 	WaitReady(ctx context.Context)
 	// SelectBackend selects one of the route's backends in proportion to their weights.
 	SelectBackend(route document.RouteMatch) fleet.Service
+	// TakeQuota takes one request from the quota of a workspace that has one. If nothing is left, it returns
+	// the time after which the caller can expect to be admitted.
+	TakeQuota(workspace string) (retryAfter time.Duration, ok bool)
+	// ReturnQuota returns what TakeQuota took, for a request that provably did not run.
+	ReturnQuota(workspace string)
 	// Acquire waits for a slot on a server. A refusal sets the code of the decision. If ctx ends
 	// first, the work is withdrawn and the code is CallerGone.
 	Acquire(ctx context.Context, work pool.Work) pool.Decision
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -133,6 +133,10 @@
 	e.finished, e.storedResponses = append(e.finished, s), append(e.storedResponses, stored)
 }
 
+func (e *fakeEngine) TakeQuota(string) (time.Duration, bool) { return 0, true }
+
+func (e *fakeEngine) ReturnQuota(string) {}
+
 func (e *fakeEngine) lastEnd() pool.EndState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -46,6 +46,7 @@
 	NoRoute          Code = 1006
 	MethodNotAllowed Code = 1007
 	WorkspaceUnknown Code = 1008
+	APIKeyUnknown    Code = 1009
 
 	NoCapacity        Code = 2001
 	DeadlineTooClose  Code = 2002
@@ -58,6 +59,7 @@
 	RetryBudgetSpent  Code = 2009
 	ServersDeclined   Code = 2010
 	ServerUnreachable Code = 2011
+	QuotaExceeded     Code = 2012
 
 	AnswerLost       Code = 3001
 	AnswerTruncated  Code = 3002
@@ -111,6 +113,7 @@
 	{NoRoute, "no_route", OutcomeNotRun, 404, 2, "no route matches host, path and method"},
 	{MethodNotAllowed, "method_not_allowed", OutcomeNotRun, 405, 2, "a route matches host and path but not the method"},
 	{WorkspaceUnknown, "workspace_unknown", OutcomeNotRun, 400, 2, "the document does not hold the workspace, so its idempotency key has no home"},
+	{APIKeyUnknown, "api_key_unknown", OutcomeNotRun, 401, 2, "the request carries no key of a workspace, or more than one"},
 	{NoCapacity, "no_capacity", OutcomeNotRun, 503, 3, "the pool is full and heavier work goes first, or its servers are at their rate limits or pause"},
 	{DeadlineTooClose, "deadline_too_close", OutcomeNotRun, 503, 3, "the work cannot finish before its deadline"},
 	{NoServer, "no_server", OutcomeNotRun, 503, 3, "the pool has no usable server"},
@@ -122,6 +125,7 @@
 	{RetryBudgetSpent, "retry_budget_spent", OutcomeNotRun, 503, 3, "a server declined and the retry budget is spent"},
 	{ServersDeclined, "servers_declined", OutcomeNotRun, 503, 3, "every server tried declined the work"},
 	{ServerUnreachable, "server_unreachable", OutcomeNotRun, 503, 3, "no connection to a server could be opened"},
+	{QuotaExceeded, "quota_exceeded", OutcomeNotRun, 429, 3, "the workspace has used its quota"},
 	{AnswerLost, "answer_lost", OutcomeUnknown, 502, 4, "the connection failed after the request was sent"},
 	{AnswerTruncated, "answer_truncated", OutcomeUnknown, 502, 4, "the answer ended early"},
 	{AnswerCrossed, "answer_crossed", OutcomeUnknown, 502, 4, "the answer belongs to another request"},
