Document: API keys, quotas and priorities of workspaces, with a look-up by hash

Cause: the fields of workspaces had neither validation nor a way to find the workspace of a key.

Change: ValidateWorkspaces checks hashes, quotas and priorities and refuses a key that two workspaces hold; Validate and ValidateChange use it and refuse a quota in a signed section, as only fulmarbeam serve enforces quotas.

--- a/pkg/document/index.go
+++ b/pkg/document/index.go
@@ -33,6 +33,7 @@
 		routes:   make(routeTable),
 		root:     doc.Root.WithDefaults(),
 		regions:  doc.Root.keyRegions(),
+		keys:     newKeyTable(doc),
 	}
 	for _, section := range doc.Sections {
 		for name, s := range section.Services {
@@ -58,7 +59,7 @@
 		}
 	}
 	out := *x
-	out.Doc, out.Revision, out.workspaces = doc, revision, nil
+	out.Doc, out.Revision, out.workspaces, out.keys = doc, revision, nil, newKeyTable(doc)
 	for _, section := range doc.Sections {
 		if len(section.Workspaces) > 0 {
 			out.workspaces = append(out.workspaces, section.Workspaces)
--- a/pkg/document/json.go
+++ b/pkg/document/json.go
@@ -189,7 +189,7 @@
 var structFields = map[reflect.Type]map[string]reflect.Type{}
 
 func init() {
-	for _, v := range []any{Document{}, Root{}, Team{}, Section{}, Service{}, Floor{}, Route{}, Workspace{}} {
+	for _, v := range []any{Document{}, Root{}, Team{}, Section{}, Service{}, Floor{}, Route{}, Workspace{}, Quota{}} {
 		t := reflect.TypeOf(v)
 		fields := make(map[string]reflect.Type, t.NumField())
 		for i := range t.NumField() {
--- a/pkg/document/types.go
+++ b/pkg/document/types.go
@@ -150,6 +150,7 @@
 	services   map[fleet.Service]Service
 	routes     routeTable
 	workspaces []map[string]Workspace // one map per section; names are unique across sections
+	keys       keyTable
 	root       Root
 	regions    []fleet.Region
 }
--- a/pkg/document/validate.go
+++ b/pkg/document/validate.go
@@ -58,11 +58,12 @@
 			checkRoute(&p, joinPath(path, "routes."+n), n, v, retention)
 		}
 		for n, v := range s.Workspaces {
-			if bad := !validName(n) || !regions[v.Home] || !validWeight(v.Weight); bad {
+			if bad := !validName(n) || !regions[v.Home] || !validWeight(v.Weight) || v.Quota != (Quota{}); bad {
 				checkWorkspace(&p, joinPath(path, "workspaces."+n), n, v, regions)
 			}
 		}
 	}
+	p = append(p, ValidateWorkspaces(doc)...)
 	checkUniqueNames(&p, doc)
 	checkReferences(&p, doc)
 	checkDuplicateRoutes(&p, doc)
@@ -71,8 +72,8 @@
 }
 
 // ValidateChange checks a document that differs from a valid one only in the entries refs
-// of one section. It accepts the same documents as Validate without visiting the other
-// workspaces. It also checks that no workspace changes its home region.
+// of one section. It accepts the same documents as Validate, and visits the other workspaces
+// only if a key was added. It also checks that no workspace changes its home region.
 func ValidateChange(doc, before *Document, section string, refs []EntryRef) Problems {
 	var p Problems
 	checkSizes(&p, doc)
@@ -80,7 +81,7 @@
 	checkSectionName(&p, path, section)
 	regions := regionSet(doc.Root)
 	s := doc.Sections[section]
-	references, routes := false, false
+	references, routes, keys := false, false, false
 	for _, ref := range refs {
 		entryPath := joinPath(path, string(ref.Kind)+"."+ref.Name)
 		value, present := s.lookupEntry(ref)
@@ -100,6 +101,8 @@
 			checkRoute(&p, entryPath, ref.Name, v, doc.Root.WithDefaults().KeyRetention)
 		case Workspace:
 			checkWorkspace(&p, entryPath, ref.Name, v, regions)
+			checkKeysAndQuota(&p, entryPath, v)
+			keys = keys || addsKeys(v, before.Sections[section].Workspaces, ref.Name)
 			checkHomeChange(&p, entryPath, v, before.Sections[section].Workspaces, ref.Name)
 		}
 		for other, o := range doc.Sections {
@@ -114,6 +117,9 @@
 	if routes {
 		checkDuplicateRoutes(&p, doc)
 	}
+	if keys {
+		checkSharedKeys(&p, doc)
+	}
 	p.sort()
 	return p
 }
@@ -338,6 +344,7 @@
 	if !validWeight(w.Weight) {
 		p.addf(path+".weight", "%v is not within 0 and %v", w.Weight, MaxWeight)
 	}
+	checkNoQuota(p, path, w)
 }
 
 // validToken reports whether v is a token of RFC 9110.
