Proxy: API keys of workspaces, their header, and quotas

Cause: no key was checked, and the key and the workspace that a caller named went on to the servers.

Change: while the document requires API keys, a request on a route that is not public needs exactly one key that a workspace holds, otherwise 401. The key and any workspace header are removed from headers and trailers, and the server gets the name of the key's workspace. TakeQuota is called after the key check; a refusal is 429 with the time to come back. ReturnQuota is called once for a request that provably did not run. The request's work and log line name the workspace, and refusals for a key are counted by their reason.

Result: nothing changes for a document without API keys (TestWithoutAPIKeysHeadersAreForwarded).

--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -86,8 +86,10 @@
 			out.retryAfter = d.RetryAfter
 			return out
 		}
-		at := time.Since(x.start)
+		at, mayHaveRun := time.Since(x.start), x.mayHaveRun
+		x.mayHaveRun = true // until the attempt proves otherwise, also if it panics
 		out := x.attempt(base, d)
+		x.mayHaveRun = mayHaveRun || !out.notRun
 		x.attempts = append(x.attempts, attemptRecord{server: d.Server.ID, trial: d.Trial, selection: d.Selection, at: at,
 			took: time.Since(x.start) - at, end: out.end, status: out.status(), code: out.code})
 		best = preferredOutcome(best, out)
@@ -175,20 +177,22 @@
 	ctx, cancel := context.WithTimeout(ctx, x.remaining())
 	defer cancel()
 	d := x.p.engine.Acquire(ctx, pool.Work{
-		ID:               x.p.engine.NewWorkID(),
-		Service:          x.route.Route.Service,
-		Route:            x.route.Name,
-		Length:           x.route.Route.Length,
-		Weight:           x.weight,
-		Deadline:         x.deadline,
-		Idempotent:       x.route.Route.Idempotent,
-		LatencyObjective: time.Duration(x.route.Route.LatencyObjective) - time.Since(x.start),
-		Priority:         x.route.Route.Priority,
-		MaxRetries:       max(0, x.route.Route.Retries-sent),
-		Bytes:            len(x.body.buffered),
-		RequestID:        x.id,
-		IsRetry:          sent > 0,
-		Exclude:          tried,
+		ID:                x.p.engine.NewWorkID(),
+		Service:           x.route.Route.Service,
+		Route:             x.route.Name,
+		Length:            x.route.Route.Length,
+		Weight:            x.weight,
+		Deadline:          x.deadline,
+		Idempotent:        x.route.Route.Idempotent,
+		LatencyObjective:  time.Duration(x.route.Route.LatencyObjective) - time.Since(x.start),
+		Workspace:         x.knownWorkspace,
+		WorkspacePriority: x.priority,
+		Priority:          x.route.Route.Priority,
+		MaxRetries:        max(0, x.route.Route.Retries-sent),
+		Bytes:             len(x.body.buffered),
+		RequestID:         x.id,
+		IsRetry:           sent > 0,
+		Exclude:           tried,
 	})
 	if d.Code == result.CallerGone && !x.callerGone() {
 		d.Code = result.DeadlineInQueue
@@ -282,6 +286,7 @@
 // newServerRequest returns the request to the server.
 func (x *exchange) newServerRequest(ctx context.Context, wire *wireAttempt, s fleet.Server, sentID string) *http.Request {
 	trailer := endToEndHeaders(x.r.Trailer)
+	x.removeIdentity(trailer)
 	body, length := x.body.reader(trailer)
 	header := x.serverHeader(sentID, s)
 	if !x.p.dialect.OmitProxyHeaders {
--- a/pkg/proxy/dialect.go
+++ b/pkg/proxy/dialect.go
@@ -16,8 +16,10 @@
 	Declined   string // in a 503: the server declined for another reason
 	Draining   string // in a response: the server is shutting down
 	Signature  string // in a response: signature that proves its origin
-	RetryAfter string // in a 503, of this proxy or of a server: delay before the next request, in fractional seconds
+	RetryAfter string // in a 503 of this proxy or of a server, and in a 429 of this proxy: delay before the next request, in fractional seconds
 	RateLimit  string // in a response: requests per second that the server accepts from all VMs together
+	APIKey     string // from callers: the key of their workspace; never sent to servers while the document requires keys
+	Workspace  string // to servers: the name of the caller's workspace, while the document requires keys
 
 	AcceptAnyShedValue    bool // any value of Shed in a response with status 400 or above means that the request did not run
 	KeepRequestID         bool // servers receive the caller's request ID unchanged
@@ -34,6 +36,8 @@
 		Shed:                 "X-Fulmar-Shed",
 		Declined:             "X-Fulmar-Declined",
 		Draining:             "X-Fulmar-Draining",
+		APIKey:               "X-Fulmar-Key",
+		Workspace:            "X-Fulmar-Workspace",
 		AllowContentEncoding: true,
 	}
 }
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -40,8 +40,13 @@
 
 	route          document.RouteMatch
 	service        document.Service
-	workspace      string // as named by the caller
-	knownWorkspace string // the workspace if the document contains it, otherwise empty
+	workspace      string         // of the API key, or as named by the caller if the document requires no keys
+	knownWorkspace string         // the workspace if the document contains it, otherwise empty
+	quota          document.Quota // of the workspace
+	priority       int            // of the workspace; 0 is the most urgent
+	requiresKeys   bool           // the document requires API keys
+	quotaTaken     bool           // TakeQuota admitted the request
+	mayHaveRun     bool           // a server may have run the request
 	weight         float64
 	deadline       fleet.Time
 	body           *requestBody
@@ -85,6 +90,7 @@
 	if x.body != nil {
 		x.body.releaseBuffer()
 	}
+	x.returnQuota()
 	x.p.metrics.request(x.route.Route.Service, x.code, time.Since(x.start))
 	x.logRequest()
 	if x.span.IsRecording() {
@@ -143,6 +149,9 @@
 	if err := x.readWorkspace(table); err != nil {
 		return err
 	}
+	if err := x.takeQuota(); err != nil {
+		return err
+	}
 	if err := x.readIdempotencyKey(); err != nil {
 		return err
 	}
@@ -177,31 +186,6 @@
 	return p.ids.requestID(r.Header.Values(p.dialect.RequestID))
 }
 
-// readWorkspace reads the workspace header and sets the weight of the request.
-func (x *exchange) readWorkspace(table RouteTable) *result.Error {
-	x.weight = x.route.Route.Weight
-	orDefault(&x.weight, 1)
-	name := x.route.Route.WorkspaceHeader
-	if name == "" {
-		return nil
-	}
-	values := x.r.Header.Values(name)
-	if len(values) > 1 || len(values) == 1 && len(values[0]) > maxWorkspaceLength {
-		return result.Errorf(result.BadRequest, "header %s is repeated or too long", name)
-	}
-	if len(values) == 0 {
-		return nil
-	}
-	x.workspace = values[0]
-	if ws, ok := table.Workspace(x.workspace); ok {
-		x.knownWorkspace = x.workspace
-		if ws.Weight != 0 {
-			x.weight *= ws.Weight
-		}
-	}
-	return nil
-}
-
 // readIdempotencyKey applies the route's key rule. On idempotent routes the key is only forwarded,
 // because repeating the request is harmless.
 func (x *exchange) readIdempotencyKey() *result.Error {
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -53,6 +53,9 @@
 	index           atomic.Pointer[document.Index]
 	ids             atomic.Uint64
 	events          []fleet.Event // guarded by mu
+	quotaWait       time.Duration // TakeQuota refuses with it
+	quotaTaken      []string
+	quotaReturned   []string
 }
 
 func (e *fakeEngine) Now() fleet.Time           { return fleet.Time(time.Since(e.origin)) }
@@ -133,9 +136,21 @@
 	e.finished, e.storedResponses = append(e.finished, s), append(e.storedResponses, stored)
 }
 
-func (e *fakeEngine) TakeQuota(string) (time.Duration, bool) { return 0, true }
+func (e *fakeEngine) TakeQuota(workspace string) (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.quotaWait > 0 {
+		return e.quotaWait, false
+	}
+	e.quotaTaken = append(e.quotaTaken, workspace)
+	return 0, true
+}
 
-func (e *fakeEngine) ReturnQuota(string) {}
+func (e *fakeEngine) ReturnQuota(workspace string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.quotaReturned = append(e.quotaReturned, workspace)
+}
 
 func (e *fakeEngine) lastEnd() pool.EndState {
 	e.mu.Lock()
@@ -162,6 +177,7 @@
 type fakeTable struct {
 	routes  map[string]document.Route
 	service document.Service
+	keys    map[document.Hash]document.WorkspaceMatch // nil: no keys are required
 }
 
 func (f *fakeTable) Route(_, path, _ string) (document.RouteMatch, result.Code) {
@@ -183,6 +199,13 @@
 	return document.Workspace{Home: "addis", Weight: 3}, name == "kolfe"
 }
 
+func (f *fakeTable) RequiresAPIKeys() bool { return f.keys != nil }
+
+func (f *fakeTable) WorkspaceOfKey(key document.Hash) (document.WorkspaceMatch, bool) {
+	match, ok := f.keys[key]
+	return match, ok
+}
+
 // testProxy is a proxy on loopback with stand-in servers as backends.
 type testProxy struct {
 	t        testing.TB
@@ -202,7 +225,9 @@
 	budget   int
 	limits   Limits
 	slots    int
-	addrs    []string // servers in addition to the stand-ins
+	addrs    []string           // servers in addition to the stand-ins
+	document *document.Document // replaces fakeTable
+	logger   logr.Logger
 }
 
 func newTestProxy(t testing.TB, o testProxyOptions) *testProxy {
@@ -228,7 +253,12 @@
 		"/keyed": {Service: "ticket-desk", Deadline: deadline, Key: document.KeyRequired},
 	}}
 	var err error
-	tp.proxy, err = New(Config{Engine: tp.engine, Region: "addis", Limits: o.limits, RouteTable: func() RouteTable { return tp.table }})
+	config := Config{Engine: tp.engine, Region: "addis", Limits: o.limits, RouteTable: func() RouteTable { return tp.table }, Logger: o.logger}
+	if o.document != nil {
+		tp.engine.index.Store(document.NewIndex(o.document, 1))
+		config.RouteTable = nil
+	}
+	tp.proxy, err = New(config)
 	require.NoError(t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -96,6 +96,7 @@
 // serverHeader returns the header of the request to the server.
 func (x *exchange) serverHeader(sentID string, s fleet.Server) http.Header {
 	h := endToEndHeaders(x.r.Header)
+	x.replaceIdentity(h)
 	d := x.p.dialect
 	delete(h, "Expect") // 100 Continue is sent by the proxy itself, when it reads the body
 	if hasToken(x.r.Header.Values("Te"), "trailers") {
--- a/pkg/proxy/metrics.go
+++ b/pkg/proxy/metrics.go
@@ -69,6 +69,10 @@
 	}).Inc()
 }
 
+func (m *proxyMetrics) keyRefusal(reason keyRefusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`fulmarbeam_api_key_refusals_total{reason=%q}`, reason)).Inc()
+}
+
 func (m *proxyMetrics) regionBytes(region fleet.Region) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`fulmarbeam_region_bytes_total{region=%q}`, region))
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -23,6 +23,8 @@
 	Route(host, path, method string) (document.RouteMatch, result.Code)
 	Service(name fleet.Service) (document.Service, bool)
 	Workspace(name string) (document.Workspace, bool)
+	RequiresAPIKeys() bool
+	WorkspaceOfKey(key document.Hash) (document.WorkspaceMatch, bool)
 }
 
 // Limits bounds the resources that one VM spends on callers and servers. Zero fields are set from
@@ -109,6 +111,8 @@
 	Metrics    *metrics.Set
 	Limits     Limits
 	Dialect    *Dialect // nil means DefaultDialect
+	// KeysConfirmed reports whether the document is recent enough to accept API keys; nil means always.
+	KeysConfirmed func() bool
 }
 
 // Proxy forwards HTTP requests from callers to backend servers. It is the http.Handler of the
@@ -121,6 +125,7 @@
 	tracer     trace.Tracer
 	limits     Limits
 	dialect    Dialect
+	confirmed  func() bool // Config.KeysConfirmed
 	metrics    *proxyMetrics
 	transports *transports
 	buffers    *byteBudget
@@ -152,6 +157,9 @@
 	if c.RouteTable == nil {
 		c.RouteTable = func() RouteTable { return indexTable(c.Engine.Routes()) }
 	}
+	if c.KeysConfirmed == nil {
+		c.KeysConfirmed = func() bool { return true }
+	}
 	limits := c.Limits.withDefaults()
 	dialect := DefaultDialect()
 	if c.Dialect != nil {
@@ -165,6 +173,7 @@
 		tracer:     c.Tracer,
 		limits:     limits,
 		dialect:    dialect,
+		confirmed:  c.KeysConfirmed,
 		metrics:    newProxyMetrics(c.Metrics),
 		buffers:    &byteBudget{free: limits.MaxBufferedBytes},
 		ids:        newIDSource(),
--- a/pkg/proxy/requestlog.go
+++ b/pkg/proxy/requestlog.go
@@ -61,7 +61,7 @@
 	for i, a := range x.attempts {
 		attempts[i] = a.String()
 	}
-	x.p.log.Info("request", "request", x.id, "route", x.route.Name, "service", x.route.Route.Service,
+	x.p.log.Info("request", "request", x.id, "route", x.route.Name, "service", x.route.Route.Service, "workspace", x.knownWorkspace,
 		"code", int(x.code), "name", x.code.String(), "status", x.status, "revision", x.revision,
 		"took_ms", time.Since(x.start).Milliseconds(), "allowed_ms", x.timeout.Milliseconds(), "steps", attempts, "detail", x.detail)
 }
--- a/pkg/proxy/response.go
+++ b/pkg/proxy/response.go
@@ -325,10 +325,13 @@
 	}
 	h := x.w.Header()
 	setErrorHeader(h, code, x.reportedOutcome(code))
-	if name := x.p.dialect.RetryAfter; name != "" && info.Outcome == result.OutcomeNotRun && info.HTTPStatus == http.StatusServiceUnavailable {
+	if name := x.p.dialect.RetryAfter; name != "" && info.Outcome == result.OutcomeNotRun && mayComeBack(info.HTTPStatus) {
 		orDefault(&x.retryAfter, x.p.limits.RetryAfter)
 		h.Set(name, strconv.FormatFloat(x.retryAfter.Seconds(), 'f', 3, 64))
 	}
+	if code == result.APIKeyUnknown {
+		h["Www-Authenticate"] = []string{`ApiKey header="` + x.p.dialect.APIKey + `"`} // required by RFC 9110, section 11.6.1
+	}
 	h["Content-Length"] = contentLength(int64(len(body)))
 	x.setConnectionHeader(h)
 	if code == result.SlowRequest || x.body == nil || !x.body.complete {
@@ -344,6 +347,11 @@
 	}
 }
 
+// mayComeBack reports whether a refusal with the status names the delay before the next request.
+func mayComeBack(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 func setErrorHeader(h http.Header, code result.Code, outcome result.Outcome) {
 	h["Content-Type"] = []string{"application/json"}
 	h["Fulmar-Code"] = []string{strconv.Itoa(int(code))}
