Settings: revocation of API keys, and whether keys are refused unconfirmed

Cause: the bound on withdrawn keys and what a VM out of touch does are the platform's to say.

The decoder of settings knows booleans.

--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -18,6 +18,8 @@
 	minInterval        = 50 * time.Millisecond
 	maxInterval        = 10 * time.Second
 	maxRequestTimeout  = time.Minute
+	minRevocation      = time.Second
+	maxRevocation      = time.Hour
 	minHeader          = 4 * KiB
 	maxHeader          = 1 * MiB
 	maxBodyBuffer      = 16 * MiB
--- a/pkg/settings/decode.go
+++ b/pkg/settings/decode.go
@@ -221,6 +221,12 @@
 			return
 		}
 		*p = n
+	case *bool:
+		if kind != 't' && kind != 'f' {
+			expected("true or false")
+			return
+		}
+		*p = kind == 't'
 	case *[]string:
 		array, ok := v.Value.(*hujson.Array)
 		if !ok {
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -18,6 +18,7 @@
 	RetryBudget RetryBudget       `json:"repeats"`
 	Prices      Prices            `json:"prices"`
 	Limits      Limits            `json:"limits"`
+	Workspaces  Workspaces        `json:"workspaces"`
 	Log         Log               `json:"log"`
 	Tracing     Tracing           `json:"tracing"`
 }
@@ -55,6 +56,12 @@
 	CrossRegionPerKB float64 `json:"region_per_kb"` // between regions
 }
 
+// Workspaces specifies what becomes of withdrawn API keys of workspaces.
+type Workspaces struct {
+	Revocation Duration `json:"revocation"`  // a withdrawn key is out of use after this time
+	FailClosed bool     `json:"fail_closed"` // keys are refused while the configuration has not been confirmed for that time
+}
+
 // DefaultGateway returns the settings with the default values of optional fields.
 func DefaultGateway() *Gateway {
 	return &Gateway{
@@ -62,6 +69,7 @@
 		RetryBudget: RetryBudget{Ratio: 0.1, Window: Duration(10 * time.Second), Slack: 0},
 		Prices:      Prices{CrossZonePerKB: 0.005, CrossRegionPerKB: 0.04},
 		Limits:      Limits{Header: 32 * KiB, BodyBuffer: 64 * KiB, BodyBufferTotal: 64 * MiB},
+		Workspaces:  Workspaces{Revocation: Duration(5 * time.Second)},
 		Log:         Log{Level: "info", Format: "json"},
 		Tracing:     Tracing{SampleRatio: 0.01},
 	}
@@ -115,6 +123,7 @@
 	d.checkDuration("shutdown.grace", g.Shutdown.Timeout, time.Second, maxDrainTimeout)
 	d.checkDuration("shutdown.leave", g.Shutdown.DrainDelay, 0, maxDrainDelay)
 	d.checkDuration("repeats.window", g.RetryBudget.Window, time.Second, time.Hour)
+	d.checkDuration("workspaces.revocation", g.Workspaces.Revocation, minRevocation, maxRevocation)
 	d.checkFraction("repeats.ratio", g.RetryBudget.Ratio)
 	for path, v := range map[string]float64{"cores": g.Cores, "repeats.slack": g.RetryBudget.Slack, "prices.zone_per_kb": g.Prices.CrossZonePerKB, "prices.region_per_kb": g.Prices.CrossRegionPerKB} {
 		if !(v >= 0) {
--- a/pkg/settings/gateway_test.go
+++ b/pkg/settings/gateway_test.go
@@ -22,6 +22,7 @@
 	require.Equal(t, want.RetryBudget, g.RetryBudget)
 	require.Equal(t, want.Prices, g.Prices)
 	require.Equal(t, want.Limits, g.Limits)
+	require.Equal(t, want.Workspaces, g.Workspaces)
 	require.Equal(t, want.Log, g.Log)
 	require.Equal(t, want.Tracing, g.Tracing)
 }
@@ -41,6 +42,8 @@
 		{`"ratio": 0.1`, `"ratio": 2`, "repeats.ratio"},
 		{`"slack": 0`, `"slack": -1`, "repeats.slack"},
 		{`"hawassa-a": "hawassa"`, `"hawassa-a": 7`, "zones.hawassa-a"},
+		{`"revocation": "5s"`, `"revocation": "0.5s"`, "workspaces.revocation"},
+		{`"fail_closed": false`, `"fail_closed": "no"`, "workspaces.fail_closed"},
 		{`"level": "info"`, `"level": "loud"`, "log.level"},
 		{`"seeds"`, `"sedes"`, "sedes"},
 	} {
