Follower: withdrawn keys end in time on VMs that the store refuses

Cause: a VM followed only its region's reader. While the reader's polls for configurations failed and its registry reads succeeded, while no registry read succeeded, while the store refused a whole region, and when the only VM with a new configuration ended, the old one and its keys stayed in use.

A VM that knows of a newer revision fetches it from a peer, from another region after 0.8 s, or asks the store itself; so does one whose configuration is unconfirmed for 3 s, and it announces what it finds. A reader whose polls fail resigns. With workspaces.fail_closed, keys get 503 without a confirmation within the bound, by CLOCK_BOOTTIME; after a pause only answers to questions asked since count. An unknown key gets 503 instead of 401 while a newer configuration is known to exist.

--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -79,6 +79,8 @@
 	// WaitForSeeds delays the first read of the store. VMs that are no seeds wait for the
 	// snapshot of one, so that not every VM of a fleet that starts reads the store.
 	WaitForSeeds bool
+	// Revocation is the time within which a withdrawn key must be out of use; 0 means DefaultRevocation.
+	Revocation time.Duration
 }
 
 // Follower is one VM's copy of the registry and the document, with the state of its
@@ -103,13 +105,18 @@
 	doc            *registry.Document
 	docPosition    int64
 	docReadPending bool
+	docPollAt      fleet.Time // start of the last poll
+	docPollWait    time.Duration
 	nextDocRead    fleet.Time
+	confirmed      confirmation
+	claim          claim
 
 	recent          []recentUpdate
 	partial         partialUpdate // the last update that came in parts
 	snapshotSource  fleet.VMID    // VM to request a snapshot from; empty for none
 	nextSnapshot    fleet.Time
 	snapshotPending bool
+	snapshotAt      fleet.Time // when the last snapshot was requested
 	lastSweep       fleet.Time
 
 	updates    []Update
@@ -133,6 +140,9 @@
 	Changes  []registry.Change `msgpack:"c"`
 	Part     int               `msgpack:"n,omitempty"` // number of this part, from 0
 	Parts    int               `msgpack:"p,omitempty"` // number of parts; 0 if the update is not split
+	State    DocumentState     `msgpack:"s"`
+	// DocumentOnly marks an update of a VM that is not the reader, which tells nothing of the registry.
+	DocumentOnly bool `msgpack:"o,omitempty"`
 }
 
 // Snapshot is a full copy of a VM's state, for a VM that starts or has missed changes.
@@ -141,6 +151,7 @@
 	Entries  []registry.Entry `msgpack:"e"`
 	Document int64            `msgpack:"d"`
 	Raw      []byte           `msgpack:"r"` // the document as stored
+	State    DocumentState    `msgpack:"s"`
 }
 
 // New returns a follower without state.
@@ -170,6 +181,7 @@
 		f.changes = append(f.changes, due...)
 		f.addRecent(now, f.position, due)
 	}
+	f.tickDocument(now)
 	if now.Sub(f.lastSweep) > sweepInterval {
 		f.lastSweep = now
 		f.table.DropTombstones(now)
@@ -224,7 +236,7 @@
 	}
 	f.changes = append(f.changes, applied...)
 	f.addRecent(now, before, applied)
-	f.queueUpdate()
+	f.queueUpdate(now)
 }
 
 func (f *Follower) readFailed(now fleet.Time, err error) {
@@ -281,8 +293,8 @@
 }
 
 // queueUpdate queues an update with the recent changes, of each server only the newest one.
-func (f *Follower) queueUpdate() {
-	u := Update{From: f.position, To: f.position, Document: f.docPosition}
+func (f *Follower) queueUpdate(now fleet.Time) {
+	u := Update{From: f.position, To: f.position, Document: f.docPosition, State: f.DocumentState(now)}
 	seen := make(map[fleet.ServerID]bool)
 	for _, r := range slices.Backward(f.recent) {
 		u.From = min(u.From, r.from)
@@ -336,6 +348,10 @@
 // ApplyUpdate applies an update of another VM of the region. Rank is the sender's position
 // in the takeover order.
 func (f *Follower) ApplyUpdate(now fleet.Time, from fleet.VMID, rank int, u Update) {
+	f.HearDocument(now, Heard{From: from, State: u.State})
+	if u.DocumentOnly {
+		return
+	}
 	if f.reader && rank > f.rank && u.To <= f.position {
 		return // the sender stops when it gets this VM's updates
 	}
@@ -379,10 +395,17 @@
 // SnapshotDue returns the VM to request a snapshot from. Each true result must be followed by a
 // call of ApplySnapshot.
 func (f *Follower) SnapshotDue(now fleet.Time) (from fleet.VMID, due bool) {
-	if f.snapshotSource == "" || f.snapshotPending || now < f.nextSnapshot {
+	if f.snapshotPending || now < f.nextSnapshot {
+		return "", false
+	}
+	from, f.snapshotSource = f.snapshotSource, ""
+	if from == "" {
+		from = f.claimSource(now)
+	}
+	if from == "" {
 		return "", false
 	}
-	from, f.snapshotSource, f.snapshotPending = f.snapshotSource, "", true
+	f.snapshotPending, f.snapshotAt = true, max(now, 1)
 	f.nextSnapshot = now.Add(snapshotRetryDelay)
 	return from, true
 }
@@ -405,7 +428,12 @@
 		f.position, f.initialized, f.lastUpdate = s.Position, true, now
 		f.recent = nil
 	}
-	f.applyDocument(decoded, s.Document)
+	fromOtherRegion := f.claim.from == from && f.claim.otherRegion
+	if f.applyDocument(now, decoded, s.Document) && fromOtherRegion {
+		f.announceDocument(now)
+	}
+	f.checkClaim(from, decoded.Revision)
+	f.HearDocument(now, Heard{From: from, State: s.State, Asked: f.snapshotAt, SkipSnapshot: true})
 }
 
 // Snapshot returns a snapshot of this VM's state, or nil before the state is complete.
@@ -421,11 +449,14 @@
 // ApplyDocumentPoll.
 func (f *Follower) DocumentPollDue(now fleet.Time) (from int64, wait time.Duration, due bool) {
 	first := f.doc == nil && !f.snapshotPending && now >= f.readDueAt()
-	if f.docReadPending || now < f.nextDocRead || !f.reader && !first {
+	if f.docReadPending || now < f.nextDocRead || !f.reader && !first && !f.documentCheckDue(now) {
 		return 0, 0, false
 	}
-	f.docReadPending = true
-	return f.docPosition, documentPollTimeout, true
+	if f.reader || first {
+		wait = documentPollTimeout
+	}
+	f.docReadPending, f.docPollAt, f.docPollWait = true, max(now, 1), wait
+	return f.docPosition, wait, true
 }
 
 // IsReader reports whether this VM reads the store for its region.
@@ -435,22 +466,28 @@
 func (f *Follower) ApplyDocumentPoll(now fleet.Time, batch registry.DocumentBatch, err error) {
 	f.docReadPending = false
 	if err != nil {
-		f.nextDocRead = now.Add(f.retryDelay())
+		f.nextDocRead = now.Add(f.documentRetryDelay())
+		f.resign(now)
 		return
 	}
 	f.nextDocRead = now
 	if batch.Newest == nil && f.doc == nil {
 		f.nextDocRead = now.Add(retryDelayFirst)
 	}
-	newer := f.applyDocument(batch.Newest, batch.Next)
+	newer := f.applyDocument(now, batch.Newest, batch.Next)
 	f.docPosition = max(f.docPosition, batch.Next)
-	if newer && f.reader {
-		f.queueUpdate()
+	f.confirmByPoll(now, batch.Newest == nil)
+	switch {
+	case newer && f.reader:
+		f.queueUpdate(now)
+	case !f.reader && f.doc != nil:
+		f.nextDocRead = now.Add(retryDelayFirst)
+		f.announceDocument(now)
 	}
 }
 
 // applyDocument applies a document if it is newer than the one in effect.
-func (f *Follower) applyDocument(d *registry.Document, position int64) bool {
+func (f *Follower) applyDocument(now fleet.Time, d *registry.Document, position int64) bool {
 	if d == nil || f.doc != nil && d.Revision <= f.doc.Revision {
 		if d != nil || f.doc != nil {
 			f.docPosition = max(f.docPosition, position)
@@ -458,6 +495,7 @@
 		return false
 	}
 	f.doc, f.pendingDoc = d, d
+	f.claim.since, f.claim.reported = now, false // if a still newer one is known, its copy is on the way
 	f.docPosition = max(f.docPosition, position)
 	return true
 }
--- a/pkg/follower/follower_test.go
+++ b/pkg/follower/follower_test.go
@@ -30,6 +30,9 @@
 	dropped       func(from, to string) bool // reports whether an update is lost
 	storeCalls    int
 	snapshots     int
+	documentCalls int
+	// VMs whose calls of one kind fail, and VMs that have ended.
+	registryDown, documentsDown, dead map[string]bool
 }
 
 type vm struct {
@@ -42,7 +45,8 @@
 }
 
 func newTestRegion(t *testing.T, n int) *testRegion {
-	tr := &testRegion{t: t, down: map[string]bool{}, dropped: func(_, _ string) bool { return false }}
+	tr := &testRegion{t: t, down: map[string]bool{}, dropped: func(_, _ string) bool { return false },
+		registryDown: map[string]bool{}, documentsDown: map[string]bool{}, dead: map[string]bool{}}
 	for i := range n {
 		v := &vm{Follower: New(Config{Self: fleet.VMID(fmt.Sprint("vm", i))}), id: fmt.Sprint("vm", i), servers: map[string]fleet.State{}}
 		v.SetRank(i)
@@ -51,17 +55,24 @@
 	return tr
 }
 
-func (tr *testRegion) run(d time.Duration) {
+func (tr *testRegion) run(d time.Duration) { tr.runWith(d, func(*vm, int, Update) {}) }
+
+// runWith runs the region and calls sent for each update that a VM sends.
+func (tr *testRegion) runWith(d time.Duration, sent func(from *vm, rank int, u Update)) {
 	const tick = 10 * time.Millisecond
 	for end := tr.now.Add(d); tr.now < end; tr.now = tr.now.Add(tick) {
 		for i, v := range tr.vms {
+			if tr.dead[v.id] {
+				continue
+			}
 			v.Tick(tr.now)
 			tr.readServers(v)
 			tr.readDocument(v)
 			tr.fetchSnapshot(v)
 			for _, u := range v.Updates() {
+				sent(v, i, u)
 				for _, other := range tr.vms {
-					if other != v && !tr.dropped(v.id, other.id) {
+					if other != v && !tr.dead[other.id] && !tr.dropped(v.id, other.id) {
 						other.ApplyUpdate(tr.now, fleet.VMID(v.id), i, u)
 					}
 				}
@@ -86,7 +97,7 @@
 		return
 	}
 	tr.storeCalls++
-	if tr.down[v.id] {
+	if tr.down[v.id] || tr.registryDown[v.id] {
 		v.ApplyRegistryRead(tr.now, registry.Batch{}, errors.New("down"))
 		return
 	}
@@ -108,10 +119,11 @@
 		if !due {
 			return
 		}
+		tr.documentCalls++
 		v.pollEnd, v.pollFrom = tr.now.Add(wait), from
 	}
 	switch {
-	case tr.down[v.id]:
+	case tr.down[v.id], tr.documentsDown[v.id]:
 		v.pollEnd = 0
 		v.ApplyDocumentPoll(tr.now, registry.DocumentBatch{}, errors.New("down"))
 	case v.pollFrom < int64(len(tr.docs)) || tr.now >= v.pollEnd:
@@ -131,7 +143,7 @@
 	}
 	tr.snapshots++
 	for _, other := range tr.vms {
-		if fleet.VMID(other.id) != from {
+		if fleet.VMID(other.id) != from || tr.dead[other.id] {
 			continue
 		}
 		s := other.Snapshot()
@@ -139,8 +151,11 @@
 			v.ApplySnapshot(tr.now, from, nil, nil, errors.New("no snapshot"))
 			return
 		}
-		v.ApplySnapshot(tr.now, from, s, &registry.Document{Revision: other.revision, Doc: &document.Document{}}, nil)
+		s.State = other.DocumentState(tr.now)
+		v.ApplySnapshot(tr.now, from, s, &registry.Document{Revision: s.State.Revision, Doc: &document.Document{}}, nil)
+		return
 	}
+	v.ApplySnapshot(tr.now, from, nil, nil, errors.New("unreachable"))
 }
 
 func (tr *testRegion) countReaders() int {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -70,9 +70,12 @@
 	draining atomic.Bool
 	serving  atomic.Bool
 	readyCh  chan struct{} // closed when the VM is ready to serve
-	nextWork atomic.Uint64
-	stop     context.CancelFunc
-	ctx      context.Context
+	// documentBehind is set while this VM knows that a newer document exists.
+	documentBehind atomic.Bool
+	keysValidUntil atomic.Int64 // boot time until which API keys are accepted; used with workspaces.fail_closed
+	nextWork       atomic.Uint64
+	stop           context.CancelFunc
+	ctx            context.Context
 
 	mu             sync.Mutex // guards the following fields
 	balance        *balance.Balancer
@@ -89,6 +92,8 @@
 	regionQueue    mesh.RelayQueue // reports of this zone's VMs for the region's other zones
 	lastQuery      fleet.Time      // last Hello because of a report of an unknown VM
 	lastTick       fleet.Time
+	pause          pauseDetector
+	toldRevision   uint64     // of the last document that other regions were told of
 	nextStep       fleet.Time // when stepTimer fires
 	stepTimer      *time.Timer
 }
@@ -111,7 +116,8 @@
 		Self: g.self.ID, Region: g.self.Region, Zone: g.self.Zone, Seed: cfg.Seed, Prices: prices, Budget: budget,
 	})
 	seeds := seedAddresses(s)
-	g.follower = follower.New(follower.Config{Self: g.self.ID, WaitForSeeds: len(seeds) > 0 && !slices.Contains(seeds, g.self.Addr)})
+	g.follower = follower.New(follower.Config{Self: g.self.ID, WaitForSeeds: len(seeds) > 0 && !slices.Contains(seeds, g.self.Addr),
+		Revocation: s.Workspaces.Revocation.D()})
 	g.members = mesh.NewMembers(g.self, seeds)
 	if err := g.bind(); err != nil {
 		g.Close()
@@ -168,7 +174,7 @@
 	g.tracing = tracing
 	g.proxy, err = proxy.New(proxy.Config{
 		Engine: g, Region: g.self.Region, Logger: g.log, Tracer: tracing.Tracer("proxy"), Metrics: g.cfg.Metrics,
-		Dialect: g.cfg.Dialect, Limits: g.limits(),
+		Dialect: g.cfg.Dialect, Limits: g.limits(), KeysConfirmed: g.keysConfirmed, NewerDocumentKnown: g.documentBehind.Load,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -248,6 +254,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
+	g.detectPause(now)
 	step(now)
 	g.applyChanges(now)
 	g.scheduleStep(now)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"github.com/fulmarbeam/fulmarbeam/pkg/document"
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 )
 
@@ -25,6 +27,22 @@
 		}
 		return 0
 	})
+	index := func(value func(*document.Index) int) func(fleet.Time) float64 {
+		return func(fleet.Time) float64 {
+			if x := g.index.Load(); x != nil {
+				return float64(value(x))
+			}
+			return 0
+		}
+	}
+	gauge("fulmarbeam_workspaces", index((*document.Index).WorkspaceCount))
+	gauge("fulmarbeam_api_keys", index((*document.Index).KeyCount))
+	gauge("fulmarbeam_configuration_unconfirmed_seconds", func(now fleet.Time) float64 {
+		if at, known := g.follower.ConfirmedAt(); known {
+			return now.Sub(at).Seconds()
+		}
+		return math.Inf(1)
+	})
 	gauge("fulmarbeam_registry_age_seconds", func(now fleet.Time) float64 { return g.follower.Age(now).Seconds() })
 	gauge("fulmarbeam_registry_reader", func(fleet.Time) float64 {
 		if g.follower.IsReader() {
--- a/pkg/gateway/reports.go
+++ b/pkg/gateway/reports.go
@@ -29,6 +29,7 @@
 		g.sendRegionReport(now, *regionReport)
 	}
 	for _, u := range g.follower.Updates() {
+		g.tellOtherRegions(now, u)
 		zone, _ := g.members.Peers(now)
 		g.mesh.Send(&mesh.RegistryUpdate{From: g.self.ID, Update: u}, zone...)
 		g.mesh.Send(&mesh.RegistryUpdate{From: g.self.ID, Relay: true, Update: u}, g.members.Relays(now, updateRelays)...)
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -31,9 +31,9 @@
 		g.pendingDigest = nil
 	}
 	if d := g.follower.NewDocument(); d != nil {
-		g.index.Store(document.NewIndex(d.Doc, d.Revision))
-		g.log.Info("configuration applied", "revision", d.Revision, "routes", countRoutes(d.Doc))
+		g.useDocument(d.Doc, d.Revision)
 	}
+	g.publishDocumentAge(now)
 	g.sendReports(now)
 	g.startFetches(now)
 	if !g.serving.Load() && g.follower.Ready() {
@@ -136,7 +136,7 @@
 	if !g.digestSchedule.RegionDue(now) || g.members.ZoneRank(now) > 0 {
 		return
 	}
-	m := &mesh.Digest{From: g.self.ID, Relay: true, VMs: g.members.ZoneSize(), Digest: g.balance.Digest(now)}
+	m := &mesh.Digest{From: g.self.ID, Relay: true, VMs: g.members.ZoneSize(), Digest: g.balance.Digest(now), Document: g.follower.DocumentState(now)}
 	region, other := g.members.Delegates(now)
 	g.digestSchedule.RegionSent = now
 	g.mesh.Send(m, region...)
@@ -186,7 +186,8 @@
 		case *mesh.Hello:
 			g.members.Add(now, m.Self)
 			list := g.members.ListUnknownTo(now, m.Self, m.KnownHash)
-			w := &mesh.Welcome{Self: g.self, Members: list, FleetSize: g.members.FleetSize(), Ready: g.follower.Ready()}
+			w := &mesh.Welcome{Self: g.self, Members: list, FleetSize: g.members.FleetSize(), Ready: g.follower.Ready(),
+				HelloAt: m.SentAt, Document: g.follower.DocumentState(now)}
 			if m.NeedsState && m.Self.Zone == g.self.Zone {
 				d := g.balance.Digest(now)
 				w.Digest = &d
@@ -200,6 +201,7 @@
 			g.handleBatch(now, from, m)
 		case *mesh.Digest:
 			g.members.RecordHeard(now, m.From)
+			g.hearDocument(now, m.From, m.Document, 0)
 			g.balance.ApplyDigest(now, m.Digest)
 			g.members.RecordZoneSize(m.Digest.Zone, m.VMs)
 			if m.Relay {
@@ -207,7 +209,7 @@
 			}
 		case *mesh.RegistryUpdate:
 			if g.recordSender(now, m.From, from) {
-				g.follower.ApplyUpdate(now, m.From, g.members.Rank(now, m.From), m.Update)
+				g.handleUpdate(now, m)
 			}
 			if m.Relay {
 				g.relay(now, &mesh.RegistryUpdate{From: m.From, Update: m.Update})
@@ -216,6 +218,15 @@
 	})
 }
 
+// handleUpdate handles an update of a known VM. One of another region tells of the document only.
+func (g *Gateway) handleUpdate(now fleet.Time, m *mesh.RegistryUpdate) {
+	if m.Update.DocumentOnly {
+		g.hearDocument(now, m.From, m.Update.State, 0)
+		return
+	}
+	g.follower.ApplyUpdate(now, m.From, g.members.Rank(now, m.From), m.Update)
+}
+
 // recordSender reports whether the sender is known. It sends a Hello message to an unknown one.
 func (g *Gateway) recordSender(now fleet.Time, id fleet.VMID, from netip.AddrPort) bool {
 	if g.members.RecordHeard(now, id) {
@@ -226,7 +237,7 @@
 }
 
 func (g *Gateway) sendHello(now fleet.Time, needsState bool, targets ...string) {
-	g.mesh.Send(&mesh.Hello{Self: g.self, NeedsState: needsState, KnownHash: g.members.KnownHash(now)}, targets...)
+	g.mesh.Send(&mesh.Hello{Self: g.self, NeedsState: needsState, KnownHash: g.members.KnownHash(now), SentAt: int64(bootTime())}, targets...)
 }
 
 func (g *Gateway) handleWelcome(now fleet.Time, m *mesh.Welcome) {
@@ -238,6 +249,7 @@
 	if m.Digest != nil {
 		g.pendingDigest = m.Digest
 	}
+	g.hearDocument(now, m.Self.ID, m.Document, time.Duration(m.HelloAt))
 	if m.Ready {
 		g.follower.HandleSnapshotOffer(now, m.Self.ID)
 	}
@@ -247,7 +259,11 @@
 func (g *Gateway) Snapshot() *follower.Snapshot {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.follower.Snapshot()
+	s := g.follower.Snapshot()
+	if s != nil {
+		s.State = g.follower.DocumentState(g.Now())
+	}
+	return s
 }
 
 // logEvents logs the events of the deterministic state.
--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -491,6 +491,15 @@
 	return vm.Addr, true
 }
 
+// Region returns the region of a VM.
+func (m *Members) Region(id fleet.VMID) (fleet.Region, bool) {
+	vm := m.members[id]
+	if vm == nil {
+		return "", false
+	}
+	return vm.Region, true
+}
+
 // Events returns and clears the events since the last call.
 func (m *Members) Events(now fleet.Time) []fleet.Event {
 	m.liveMembers(now)
--- a/pkg/mesh/messages.go
+++ b/pkg/mesh/messages.go
@@ -23,17 +23,21 @@
 // Hello announces its sender to a VM and requests a Welcome.
 type Hello struct {
 	Self       Member `msgpack:"s"`
-	NeedsState bool   `msgpack:"f"` // the VM has just started and has no state of the servers
-	KnownHash  uint64 `msgpack:"k"` // hash of the known VMs of its region; 0: none
+	NeedsState bool   `msgpack:"f"`           // the VM has just started and has no state of the servers
+	KnownHash  uint64 `msgpack:"k"`           // hash of the known VMs of its region; 0: none
+	SentAt     int64  `msgpack:"t,omitempty"` // by the sender's clock, to be returned in the Welcome
 }
 
 // Welcome replies to a Hello with VMs that are unknown to the sender of the Hello.
 type Welcome struct {
 	Self      Member          `msgpack:"s"`
 	Members   []ListedMember  `msgpack:"m"`
-	FleetSize int             `msgpack:"f"` // number of VMs of the fleet known to the sender
-	Ready     bool            `msgpack:"r"` // the sender can provide a snapshot of the state
-	Digest    *balance.Digest `msgpack:"d"` // of the sender's zone
+	FleetSize int             `msgpack:"f"`           // number of VMs of the fleet known to the sender
+	Ready     bool            `msgpack:"r"`           // the sender can provide a snapshot of the state
+	Digest    *balance.Digest `msgpack:"d"`           // of the sender's zone
+	HelloAt   int64           `msgpack:"t,omitempty"` // Hello.SentAt
+	// Document of the sender.
+	Document follower.DocumentState `msgpack:"c"`
 }
 
 // Digest sends a zone's digest to other zones. The VM that receives it from another zone
@@ -43,6 +47,8 @@
 	Relay  bool           `msgpack:"y"` // to be relayed
 	VMs    int            `msgpack:"n"` // number of known VMs of the zone
 	Digest balance.Digest `msgpack:"d"`
+	// Document of the sender; zero in a relayed digest.
+	Document follower.DocumentState `msgpack:"c,omitempty"`
 }
 
 // Report carries a balancer's report. A VM that receives one with Relay set sends it to the
@@ -63,7 +69,8 @@
 	Reports []RelayedReport `msgpack:"r"`
 }
 
-// RegistryUpdate carries an update of the region's reader. It is relayed like a Report.
+// RegistryUpdate carries an update of the region's reader, or of another VM about its document only. It is relayed
+// like a Report.
 type RegistryUpdate struct {
 	From   fleet.VMID      `msgpack:"f"`
 	Relay  bool            `msgpack:"y,omitempty"`
--- a/pkg/mesh/transport.go
+++ b/pkg/mesh/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -40,9 +41,11 @@
 	log           logr.Logger
 	snapshotSlots chan struct{}
 
-	cacheMu  sync.Mutex
-	cached   []byte // encoded SnapshotReply
-	cachedAt time.Time
+	cacheMu       sync.Mutex
+	cached        []byte // encoded SnapshotReply
+	cachedAt      time.Time
+	cachedVersion uint64        // value of stateVersion at cachedAt
+	stateVersion  atomic.Uint64 // number of calls of ForgetSnapshot
 }
 
 // Listen binds the address for datagrams (UDP) and snapshots (TCP).
@@ -162,17 +165,22 @@
 	}
 }
 
+// ForgetSnapshot makes requests from now on get the current state, not one from up to snapshotCacheTTL ago.
+func (t *Transport) ForgetSnapshot() { t.stateVersion.Add(1) }
+
 // encodedSnapshot returns the reply with the current snapshot. Many VMs request one at the same time when a
 // fleet starts, and get the same.
 func (t *Transport) encodedSnapshot() ([]byte, error) {
 	t.cacheMu.Lock()
 	defer t.cacheMu.Unlock()
-	if t.cached != nil && time.Since(t.cachedAt) < snapshotCacheTTL {
+	version := t.stateVersion.Load()
+	if t.cached != nil && time.Since(t.cachedAt) < snapshotCacheTTL && t.cachedVersion == version {
 		return t.cached, nil
 	}
 	var reply SnapshotReply
 	s := t.handler.Snapshot()
 	if s != nil {
+		s.State = s.State.Older(snapshotCacheTTL) // when it is sent from the cache
 		compressed, err := compressSnapshot(s)
 		if err != nil {
 			return nil, err
@@ -181,7 +189,7 @@
 	}
 	frame, err := wire.Encode(&reply)
 	if err == nil && s != nil {
-		t.cached, t.cachedAt = frame, time.Now()
+		t.cached, t.cachedAt, t.cachedVersion = frame, time.Now(), version
 	}
 	return frame, errors.Trace(err)
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -113,6 +113,9 @@
 	Dialect    *Dialect // nil means DefaultDialect
 	// KeysConfirmed reports whether the document is recent enough to accept API keys; nil means always.
 	KeysConfirmed func() bool
+	// NewerDocumentKnown reports whether a newer document exists, which may hold keys that this one does not; nil means
+	// never.
+	NewerDocumentKnown func() bool
 }
 
 // Proxy forwards HTTP requests from callers to backend servers. It is the http.Handler of the
@@ -126,6 +129,7 @@
 	limits     Limits
 	dialect    Dialect
 	confirmed  func() bool // Config.KeysConfirmed
+	superseded func() bool // Config.NewerDocumentKnown
 	metrics    *proxyMetrics
 	transports *transports
 	buffers    *byteBudget
@@ -160,6 +164,9 @@
 	if c.KeysConfirmed == nil {
 		c.KeysConfirmed = func() bool { return true }
 	}
+	if c.NewerDocumentKnown == nil {
+		c.NewerDocumentKnown = func() bool { return false }
+	}
 	limits := c.Limits.withDefaults()
 	dialect := DefaultDialect()
 	if c.Dialect != nil {
@@ -174,6 +181,7 @@
 		limits:     limits,
 		dialect:    dialect,
 		confirmed:  c.KeysConfirmed,
+		superseded: c.NewerDocumentKnown,
 		metrics:    newProxyMetrics(c.Metrics),
 		buffers:    &byteBudget{free: limits.MaxBufferedBytes},
 		ids:        newIDSource(),
--- a/pkg/proxy/workspace.go
+++ b/pkg/proxy/workspace.go
@@ -17,6 +17,7 @@
 	keyRepeated    keyRefusal = "repeated"
 	keyUnknown     keyRefusal = "unknown"
 	keyUnconfirmed keyRefusal = "unconfirmed" // the document is not confirmed, so the key may have been withdrawn
+	keyNotYetKnown keyRefusal = "not_yet"     // the key is unknown, but may be in a newer document that exists
 )
 
 // readWorkspace determines the workspace of the request and its weight: by the API key if the document requires
@@ -54,10 +55,13 @@
 		return document.WorkspaceMatch{}, keyRepeated
 	}
 	match, ok := table.WorkspaceOfKey(document.HashAPIKey(values[0]))
-	if !ok {
-		return document.WorkspaceMatch{}, keyUnknown
+	switch {
+	case ok:
+		return match, ""
+	case x.p.superseded():
+		return match, keyNotYetKnown
 	}
-	return match, ""
+	return match, keyUnknown
 }
 
 // refuseKey counts the refusal and returns it as an error, whose text never contains the key.
@@ -66,6 +70,8 @@
 	switch refusal {
 	case keyUnconfirmed:
 		return result.Errorf(result.NotReady, "the configuration has not been confirmed recently")
+	case keyNotYetKnown:
+		return result.Errorf(result.NotReady, "the key may be in a newer configuration that this VM has not received")
 	case keyMissing:
 		return result.Errorf(result.APIKeyUnknown, "no key in the header %s", x.p.dialect.APIKey)
 	case keyRepeated:
--- a/pkg/proxy/workspace_test.go
+++ b/pkg/proxy/workspace_test.go
@@ -289,10 +289,14 @@
 	require.Equal(t, []string{"farm"}, all[len(all)-1].header.Values("X-Fulmar-Workspace"))
 }
 
-// Guards against a document that is too old to know which keys are withdrawn.
+// Guards against a document that is too old to know which keys are withdrawn or added.
 func TestUnconfirmedDocumentRefusesKeys(t *testing.T) {
 	addr, _ := recordingServer(t)
 	tp := newTestProxy(t, testProxyOptions{addrs: []string{addr}, document: innAndFarm()})
+	tp.proxy.superseded = func() bool { return true }
+	require.Equal(t, result.NotReady, tp.get("/menu", "X-Fulmar-Key", "added later").code(), "a newer document may hold the key")
+	require.Equal(t, result.APIKeyUnknown, tp.get("/menu").code())
+	require.Equal(t, 200, tp.get("/menu", "X-Fulmar-Key", keyOfInn).status)
 	tp.proxy.confirmed = func() bool { return false }
 	resp := tp.get("/menu", "X-Fulmar-Key", keyOfInn)
 	require.Equal(t, result.NotReady, resp.code())
@@ -329,6 +333,12 @@
 	}
 }
 
+func (tp *testProxy) quotaCount() int {
+	tp.engine.mu.Lock()
+	defer tp.engine.mu.Unlock()
+	return len(tp.engine.quotaTaken)
+}
+
 func (tp *testProxy) checkQuota(taken int, returned bool) {
 	tp.t.Helper()
 	tp.engine.mu.Lock()
@@ -367,6 +377,7 @@
 	body, pipe := io.Pipe()
 	go func() {
 		_, _ = pipe.Write([]byte("half"))
+		eventually(t, "request admitted", func() bool { return tp.quotaCount() == 2 })
 		cancel()
 		pipe.CloseWithError(io.ErrUnexpectedEOF)
 	}()
