--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -118,7 +118,7 @@
 	{DeadlineTooClose, "deadline_too_close", OutcomeNotRun, 503, 3, "the work cannot finish before its deadline"},
 	{NoServer, "no_server", OutcomeNotRun, 503, 3, "the pool has no usable server"},
 	{Draining, "draining", OutcomeNotRun, 503, 3, "this VM is shutting down"},
-	{NotReady, "not_ready", OutcomeNotRun, 503, 3, "this VM has no configuration yet"},
+	{NotReady, "not_ready", OutcomeNotRun, 503, 3, "this VM has no configuration yet, or none that is recent enough to judge the API key"},
 	{CallerGone, "caller_gone", OutcomeNotRun, 499, 3, "the caller closed its connection before dispatch"},
 	{BufferLimit, "buffer_limit", OutcomeNotRun, 503, 3, "this VM's body buffers are full"},
 	{DeadlineInQueue, "deadline_in_queue", OutcomeNotRun, 503, 3, "the deadline passed while the request was queued"},
