--- a/pkg/gateway/documentage.go
+++ b/pkg/gateway/documentage.go
@@ -11,8 +11,8 @@
 	"github.com/fulmarbeam/fulmarbeam/pkg/mesh"
 )
 
-// pauseThreshold is the time between two steps after which the VM counts as paused. Steps are at most tickInterval
-// apart; a VM that is only busy is late by less.
+// pauseThreshold is the time between two steps, which are due each tickInterval, after which the VM counts as paused.
+// A VM that was only busy for so long pays with a Hello.
 const pauseThreshold = time.Second
 
 // bootTime returns the time since the VM booted, which also runs while the VM is suspended.
