--- a/pkg/follower/documentstate_test.go
+++ b/pkg/follower/documentstate_test.go
@@ -67,6 +67,13 @@
 		"documents refused to all but one":      func(tr *testRegion) { tr.documentsDown = all(tr, "vm5") },
 		"registry to one, documents to another": func(tr *testRegion) { tr.registryDown, tr.documentsDown = all(tr, "vm2"), all(tr, "vm4") },
 		"reader ended":                          func(tr *testRegion) { tr.dead[tr.reader().id] = true },
+		"reader serves no copies":               func(tr *testRegion) { tr.noCopies[tr.reader().id] = true },
+		"reader serves no copies, the store refuses most others": func(tr *testRegion) {
+			reader := tr.reader()
+			tr.down = all(tr, "vm5")
+			tr.down[reader.id] = false
+			tr.noCopies = map[string]bool{reader.id: reader.id != "vm5"}
+		},
 		"updates lost": func(tr *testRegion) {
 			n := 0
 			tr.dropped = func(_, _ string) bool { n++; return n%3 != 0 }
--- a/pkg/follower/follower_test.go
+++ b/pkg/follower/follower_test.go
@@ -33,6 +33,7 @@
 	documentCalls int
 	// VMs whose calls of one kind fail, and VMs that have ended.
 	registryDown, documentsDown, dead map[string]bool
+	noCopies                          map[string]bool // VMs that serve no snapshots
 }
 
 type vm struct {
@@ -46,7 +47,7 @@
 
 func newTestRegion(t *testing.T, n int) *testRegion {
 	tr := &testRegion{t: t, down: map[string]bool{}, dropped: func(_, _ string) bool { return false },
-		registryDown: map[string]bool{}, documentsDown: map[string]bool{}, dead: map[string]bool{}}
+		registryDown: map[string]bool{}, documentsDown: map[string]bool{}, dead: map[string]bool{}, noCopies: map[string]bool{}}
 	for i := range n {
 		v := &vm{Follower: New(Config{Self: fleet.VMID(fmt.Sprint("vm", i))}), id: fmt.Sprint("vm", i), servers: map[string]fleet.State{}}
 		v.SetRank(i)
@@ -143,7 +144,7 @@
 	}
 	tr.snapshots++
 	for _, other := range tr.vms {
-		if fleet.VMID(other.id) != from || tr.dead[other.id] {
+		if fleet.VMID(other.id) != from || tr.dead[other.id] || tr.noCopies[other.id] {
 			continue
 		}
 		s := other.Snapshot()
