--- a/pkg/gateway/datagram_test.go
+++ b/pkg/gateway/datagram_test.go
@@ -46,6 +46,8 @@
 		&mesh.Batch{From: "vm-b", Relay: true, Reports: []mesh.RelayedReport{{From: "vm-c", Report: report}}},
 		&mesh.Digest{From: "vm-b", Relay: true, VMs: 4, Digest: digest},
 		&mesh.RegistryUpdate{From: "vm-b", Relay: true, Update: follower.Update{From: -1, To: 5, Changes: []registry.Change{{ID: "s1", Entry: entry}, {ID: "s2"}}, Part: 1, Parts: 2}},
+		&mesh.RegistryUpdate{From: "vm-b", Update: follower.Update{DocumentOnly: true, State: follower.DocumentState{Revision: 1 << 63, Age: 1 << 31}}},
+		&mesh.Welcome{Self: member, HelloAt: -1 << 63, Document: follower.DocumentState{Revision: 1, Age: 1}},
 		&mesh.Compressed{Frame: []byte{1, 2, 3}},
 		&mesh.SnapshotReply{Compressed: []byte{1}},
 	} {
