--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -170,6 +170,9 @@
 		f.changes = append(f.changes, due...)
 		f.addRecent(now, f.position, due)
 	}
+	for _, id := range f.table.Ignored() {
+		f.event("registration_ignored", "not the registration of server "+string(id))
+	}
 	if now.Sub(f.lastSweep) > sweepInterval {
 		f.lastSweep = now
 		f.table.DropTombstones(now)
@@ -458,10 +461,25 @@
 		return false
 	}
 	f.doc, f.pendingDoc = d, d
+	f.table.SetServices(services(d))
 	f.docPosition = max(f.docPosition, position)
 	return true
 }
 
+// services returns the services of a document; nil if it has no content.
+func services(d *registry.Document) map[fleet.Service]bool {
+	if d.Doc == nil {
+		return nil
+	}
+	out := make(map[fleet.Service]bool)
+	for _, section := range d.Doc.Sections {
+		for name := range section.Services {
+			out[name] = true
+		}
+	}
+	return out
+}
+
 // Ready reports whether this VM has the registry and a document.
 func (f *Follower) Ready() bool { return f.initialized && f.doc != nil }
 
--- a/pkg/follower/follower_test.go
+++ b/pkg/follower/follower_test.go
@@ -372,3 +372,28 @@
 	require.Equal(t, reader.position, other.position)
 	require.Len(t, other.Entries(), len(reader.Entries()))
 }
+
+// Guards against an impossible entry in an update or a snapshot that replaces a server's, and against one that is
+// ignored without a trace.
+func TestImpossibleEntryOfAnotherVMIsIgnored(t *testing.T) {
+	good := registry.Entry{Server: fleet.Server{ID: "a", State: fleet.StateLive}, Slots: 6, Seq: 1}
+	bad := good
+	bad.Seq = 1 << 60
+	for _, apply := range []func(*Follower, registry.Entry){
+		func(f *Follower, e registry.Entry) {
+			f.ApplyUpdate(1, "vm1", 0, Update{From: 1, To: 2, Changes: []registry.Change{{ID: "a", Entry: &e}}})
+		},
+		func(f *Follower, e registry.Entry) {
+			f.ApplySnapshot(1, "vm1", &Snapshot{Position: 2, Entries: []registry.Entry{e}}, nil, nil)
+		},
+	} {
+		f := New(Config{Self: "vm0"})
+		f.ApplyRegistryRead(0, registry.Batch{Changes: []registry.Change{{ID: "a", Entry: &good}}, Next: 1, Reset: true}, nil)
+		f.Events()
+		apply(f, bad)
+		f.Tick(2)
+		require.Equal(t, []registry.Entry{good}, f.Entries())
+		events := f.Events()
+		require.Equal(t, fleet.EventKind("registration_ignored"), events[len(events)-1].Kind)
+	}
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -25,6 +25,20 @@
 	return cmp.Or(cmp.Compare(e.Incarnation, o.Incarnation), cmp.Compare(e.Seq, o.Seq)) > 0
 }
 
+// Bounds of the values of an entry. An entry beyond them would hide all later ones of its server.
+const (
+	maxSlots   = 1 << 20 // requests that a server runs concurrently
+	maxWarmup  = 24 * time.Hour
+	maxInteger = 1 << 53 // of a sequence number or an incarnation, as in the store's records
+)
+
+// valid reports whether the entry can be the registration of a server. An entry of another VM may be wrong.
+func (e Entry) valid(id fleet.ServerID) bool {
+	return e.Server.ID == id && (e.Server.State == fleet.StateLive || e.Server.State == fleet.StateLeaving) &&
+		e.Slots >= 0 && e.Slots <= maxSlots && e.Warmup >= 0 && e.Warmup <= maxWarmup &&
+		e.Incarnation >= 0 && e.Incarnation <= maxInteger && e.Seq >= 0 && e.Seq <= maxInteger
+}
+
 // sameState reports whether e and o describe the same state. It ignores the sequence number,
 // which each heartbeat increases.
 func (e Entry) sameState(o Entry) bool {
@@ -59,11 +73,34 @@
 type Table struct {
 	rows            map[fleet.ServerID]*row
 	pendingRemovals int // rows with a delayed removal
+	services        map[fleet.Service]bool
+	ignored         []fleet.ServerID // whose entries were ignored since the last call of Ignored
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{rows: make(map[fleet.ServerID]*row)} }
 
+// SetServices sets the services of the document in effect. Before the first call all services are known.
+func (t *Table) SetServices(services map[fleet.Service]bool) { t.services = services }
+
+func (t *Table) isKnown(s fleet.Service) bool { return t.services == nil || t.services[s] }
+
+// supersedes reports whether e replaces the entry of a row. Another writer may have written an entry under the
+// server's ID, with an unknown service and any incarnation and sequence number; it yields to one with a known service.
+func (t *Table) supersedes(e, old Entry) bool {
+	if known := t.isKnown(e.Server.Service); known != t.isKnown(old.Server.Service) {
+		return known
+	}
+	return e.newerThan(old)
+}
+
+// Ignored returns and clears the servers whose entries were ignored, because they cannot be their registrations.
+func (t *Table) Ignored() []fleet.ServerID {
+	out := t.ignored
+	t.ignored = nil
+	return out
+}
+
 // Apply applies changes and returns those that modified the table. Removals are delayed by
 // delay and cancelled if the server registers again before then; see ApplyDue.
 func (t *Table) Apply(now fleet.Time, changes []Change, delay time.Duration) []Change {
@@ -81,11 +118,15 @@
 	if c.Entry == nil {
 		return t.remove(now, r, delay)
 	}
+	if !c.Entry.valid(c.ID) {
+		t.ignored = append(t.ignored, c.ID)
+		return false
+	}
 	if r == nil {
 		t.rows[c.ID] = &row{entry: *c.Entry}
 		return true
 	}
-	if !c.Entry.newerThan(r.entry) {
+	if !t.supersedes(*c.Entry, r.entry) {
 		// Reading the same registration again shows that the server was not removed.
 		if !r.removed && r.removalDue != 0 && *c.Entry == r.entry {
 			t.cancelRemoval(r)
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -73,3 +74,49 @@
 	require.Equal(t, []Change{{ID: "b"}}, table.Missing(all[:1]))
 	require.Equal(t, []Change{{ID: "a"}}, table.Missing([]Change{{ID: "a"}, all[1]}))
 }
+
+// Guards against an entry of another writer, with a service that is not configured, that displaces the server under
+// whose ID it is, or hides what the server says later.
+func TestEntryOfUnknownServiceYields(t *testing.T) {
+	foreign := func() Change {
+		c := registration("a", 9, 1_000_000, fleet.StateLive)
+		c.Entry.Server.Service = "attic"
+		return c
+	}
+	for _, before := range [][]Change{nil, {registration("a", 5, 1, fleet.StateLive)}, {registration("a", 5, 1, fleet.StateLive), {ID: "a"}}} {
+		table := NewTable()
+		table.SetServices(map[fleet.Service]bool{"ticket-desk": true})
+		table.Apply(0, before, 0)
+		table.Apply(0, []Change{foreign()}, 0)
+		table.Apply(0, []Change{registration("a", 5, 2, fleet.StateLeaving)}, 0)
+		require.Equal(t, []Entry{*registration("a", 5, 2, fleet.StateLeaving).Entry}, table.Entries())
+		require.Empty(t, table.Apply(0, []Change{foreign()}, 0))
+		require.Empty(t, table.Apply(0, []Change{registration("a", 5, 1, fleet.StateLive)}, 0), "an older registration")
+	}
+}
+
+// Guards against an impossible entry from another VM that replaces a server's, or is later than any of its entries.
+func TestImpossibleEntriesAreIgnored(t *testing.T) {
+	for name, change := range map[string]func(*Entry){
+		"another server":       func(e *Entry) { e.Server.ID = "b" },
+		"no state":             func(e *Entry) { e.Server.State = 0 },
+		"unknown state":        func(e *Entry) { e.Server.State = 77 },
+		"sequence number":      func(e *Entry) { e.Seq = math.MaxInt64 },
+		"negative sequence":    func(e *Entry) { e.Seq, e.Incarnation = -1, 6 },
+		"incarnation":          func(e *Entry) { e.Incarnation = math.MaxInt64 },
+		"negative incarnation": func(e *Entry) { e.Incarnation = math.MinInt64 },
+		"slots":                func(e *Entry) { e.Slots = math.MaxInt },
+		"negative slots":       func(e *Entry) { e.Slots = -1 },
+		"warm-up":              func(e *Entry) { e.Warmup = math.MaxInt64 },
+		"negative warm-up":     func(e *Entry) { e.Warmup = -1 },
+	} {
+		table := NewTable()
+		table.Apply(0, []Change{registration("a", 5, 1, fleet.StateLive)}, 0)
+		bad := registration("a", 5, 2, fleet.StateLive)
+		change(bad.Entry)
+		require.Empty(t, table.Apply(0, []Change{bad}, 0), name)
+		require.Equal(t, []fleet.ServerID{"a"}, table.Ignored(), name)
+		require.Empty(t, table.Ignored())
+		require.Len(t, table.Apply(0, []Change{registration("a", 5, 2, fleet.StateLeaving)}, 0), 1, name)
+	}
+}
