--- a/pkg/proxy/serverconn.go
+++ b/pkg/proxy/serverconn.go
@@ -167,6 +167,8 @@
 	refuseWrites bool // the owner has already used another connection
 	reused       bool
 	untrusted    bool // a response was suspect, or bytes were received before a request was sent
+
+	sendErr error // the connection's failure, if a write returned it
 }
 
 func newServerConn(c *net.TCPConn, count func(n int), onClose func()) (*serverConn, error) {
@@ -210,7 +212,7 @@
 	if err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.send(p)
 	if first && n == 0 {
 		wire.revertSend()
 		if c.reused {
@@ -222,6 +224,37 @@
 	return n, err
 }
 
+// send writes to the socket. The kernel reports the failure of a connection only once: if a write gets it, the reads find
+// the end of the stream, as if the server had ended its response. Each system call and the record of its error are one
+// step under mu, so that no Read runs between them.
+func (c *serverConn) send(p []byte) (sent int, err error) {
+	rawErr := c.raw.Write(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for sent < len(p) && err == nil {
+			var n int
+			n, err = writeFD(int(fd), p[sent:])
+			sent += n
+		}
+		if err == syscall.EAGAIN {
+			err = nil
+			return false
+		}
+		// EPIPE is no failure of the connection: it follows the end of the stream, or a failure that was reported before.
+		if err != nil && err != syscall.EPIPE && c.sendErr == nil {
+			c.sendErr = err
+		}
+		return true
+	})
+	switch {
+	case rawErr != nil:
+		return sent, rawErr
+	case err != nil:
+		return sent, opError(c.Conn, "write", err)
+	}
+	return sent, nil
+}
+
 // beginWrite returns the owner if it may write, and whether this write contains its first byte.
 func (c *serverConn) beginWrite() (wire *wireAttempt, first bool, err error) {
 	c.mu.Lock()
@@ -300,13 +333,28 @@
 	}
 }
 
+// writeFD writes to a non-blocking socket.
+func writeFD(fd int, p []byte) (int, error) {
+	for {
+		n, err := syscall.Write(fd, p)
+		if err != syscall.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
+
+// opError returns the error of a system call in the form in which package net returns it.
+func opError(c net.Conn, call string, err error) error {
+	return &net.OpError{Op: call, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError(call, err)}
+}
+
 // readResult converts the results of readFD and RawConn.Read to those of net.Conn.Read.
 func readResult(c net.Conn, n int, err, rawErr error) (int, error) {
 	switch {
 	case rawErr != nil:
 		return 0, rawErr
 	case err != nil:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+		return 0, opError(c, "read", err)
 	case n == 0:
 		return 0, io.EOF
 	}
@@ -326,6 +374,9 @@
 		if err == syscall.EAGAIN {
 			return false
 		}
+		if n == 0 && err == nil {
+			err = c.sendErr
+		}
 		switch {
 		case n > 0 && c.idle:
 			n, err, c.untrusted = 0, errStrayBytes, true
--- a/pkg/proxy/serverconn_test.go
+++ b/pkg/proxy/serverconn_test.go
@@ -1,16 +1,19 @@
 package proxy
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"golang.org/x/sys/unix"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
@@ -161,3 +164,72 @@
 		return tp.get("/menu").code()
 	}())
 }
+
+// dialServerConn returns a connection on which the start of a request was sent, and the server's end of it.
+func dialServerConn(t *testing.T) (*serverConn, *net.TCPConn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	d, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	c, err := newServerConn(d.(*net.TCPConn), func(int) {}, func() {})
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	peer, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { peer.Close() })
+	wire := &wireAttempt{checkDispatch: allowDispatch}
+	wire.gotConn(c, false)
+	_, err = c.Write([]byte("start of a request"))
+	require.NoError(t, err)
+	return c, peer.(*net.TCPConn)
+}
+
+// Guards against a reset that a write finds first, and that the reads then take for the end of the server's response.
+func TestFailureFoundByAWriteEndsTheReads(t *testing.T) {
+	c, peer := dialServerConn(t)
+	_, err := peer.Write([]byte("part of a response"))
+	require.NoError(t, err)
+	buf := make([]byte, 4)
+	_, err = io.ReadFull(c, buf)
+	require.NoError(t, err)
+	require.NoError(t, peer.SetLinger(0))
+	require.NoError(t, peer.Close())
+	eventually(t, "the write fails", func() bool {
+		_, err := c.Write([]byte("x"))
+		return err != nil
+	})
+	rest, err := io.ReadAll(c)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.Equal(t, " of a response", string(rest))
+}
+
+// Guards against a complete response that is taken for a broken one, because the server closed the connection after it
+// while the request was still being sent.
+func TestEndBeforeAResetIsTheEnd(t *testing.T) {
+	c, peer := dialServerConn(t)
+	_, err := peer.Write([]byte("a whole response"))
+	require.NoError(t, err)
+	require.NoError(t, peer.CloseWrite())
+	eventually(t, "end of stream received", func() bool { return tcpState(t, c) == tcpCloseWait })
+	require.NoError(t, peer.SetLinger(0))
+	require.NoError(t, peer.Close())
+	eventually(t, "the write fails", func() bool {
+		_, err := c.Write([]byte("x"))
+		return err != nil
+	})
+	all, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Equal(t, "a whole response", string(all))
+}
+
+const tcpCloseWait = 8 // TCP_CLOSE_WAIT of linux/tcp_states.h
+
+func tcpState(t *testing.T, c *serverConn) (state uint8) {
+	require.NoError(t, c.raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		require.NoError(t, err)
+		state = info.State
+	}))
+	return state
+}
