--- a/pkg/mesh/transport.go
+++ b/pkg/mesh/transport.go
@@ -190,7 +190,7 @@
 func (t *Transport) FetchSnapshot(ctx context.Context, self fleet.VMID, address string) (*follower.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	c, err := netutil.NewDialer(snapshotTimeout, snapshotTimeout).DialContext(ctx, "tcp4", address)
+	c, err := netutil.NewDialer(snapshotTimeout, false).DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/pkg/netutil/netutil.go
+++ b/pkg/netutil/netutil.go
@@ -3,41 +3,26 @@
 
 import (
 	"net"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
-// Keep-alive settings of connections with a send timeout. The probes detect a peer that
-// becomes unresponsive while the connection is idle.
+// Keep-alive settings of watched connections. The probes detect a peer that becomes unresponsive while nothing that was
+// sent to it waits for an acknowledgement.
 const (
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
+	keepAliveInterval = time.Second // the system counts whole seconds
+	keepAliveCount    = 1
 )
 
-// defaultKeepAliveInterval is the keep-alive interval of connections without a send
-// timeout.
+// defaultKeepAliveInterval is the keep-alive interval of other connections.
 const defaultKeepAliveInterval = 15 * time.Second
 
-// NewDialer returns a dialer whose connections fail if sent data is not acknowledged within
-// sendTimeout. If sendTimeout is zero, the operating system's default applies.
-func NewDialer(connectTimeout, sendTimeout time.Duration) *net.Dialer {
+// NewDialer returns a dialer. Its connections fail if they are watched and the peer does not answer a keep-alive
+// probe.
+func NewDialer(connectTimeout time.Duration, watched bool) *net.Dialer {
 	d := &net.Dialer{Timeout: connectTimeout, KeepAlive: defaultKeepAliveInterval}
-	if sendTimeout <= 0 {
-		return d
-	}
-	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
-	d.Control = func(_, _ string, c syscall.RawConn) error {
-		var setErr error
-		err := c.Control(func(fd uintptr) {
-			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(sendTimeout.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return setErr
+	if watched {
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 	}
 	return d
 }
--- a/pkg/proxy/longbody_test.go
+++ b/pkg/proxy/longbody_test.go
@@ -84,3 +84,62 @@
 	require.Equal(t, http.StatusOK, resp.status)
 	require.Equal(t, body, resp.body)
 }
+
+// Guards against a server that reads a long body late and is taken for one that cannot be reached: the window of its
+// connection is closed for much longer than the send timeout, while it acknowledges all probes.
+func TestServerThatReadsLateIsNotUnresponsive(t *testing.T) {
+	const sendTimeout, pause = 50 * time.Millisecond, time.Second
+	for _, framing := range []string{"Content-Length: 2", "Connection: close"} {
+		addr := startLongBodyServer(t, func(c *net.TCPConn, r *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+framing+"\r\n\r\no")
+			time.Sleep(pause)
+			_, _ = io.WriteString(c, "k")
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, r.Body)
+		})
+		tp := newLongBodyProxy(t, addr, Limits{SendTimeout: sendTimeout})
+		resp := tp.do(context.Background(), http.MethodPut, "/book", strings.NewReader(strings.Repeat("x", longBody)))
+		require.NoError(t, resp.err)
+		require.Equal(t, http.StatusOK, resp.status, resp.body)
+		require.Equal(t, "ok", resp.body)
+	}
+}
+
+// Guards against a planned stop that breaks off requests with long bodies while their server works on them, before it has
+// read the body or after the start of its response.
+func TestShutdownServesRequestsWithLongBodies(t *testing.T) {
+	const sendTimeout, work = 50 * time.Millisecond, time.Second
+	for _, early := range []bool{false, true} {
+		const head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+		arrived := make(chan struct{}, 1)
+		addr := startLongBodyServer(t, func(c *net.TCPConn, r *http.Request) {
+			if early {
+				_, _ = io.WriteString(c, head+"do")
+			}
+			arrived <- struct{}{}
+			time.Sleep(work)
+			if early {
+				_, _ = io.WriteString(c, "ne")
+			} else {
+				_, _ = io.WriteString(c, head+"done")
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+		})
+		tp := newLongBodyProxy(t, addr, Limits{SendTimeout: sendTimeout})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		sp := &shutdownProxy{testProxy: tp, server: tp.proxy.NewServer(), ln: l}
+		sp.serve()
+		tp.addr = l.Addr().String()
+		answered := make(chan callerResponse, 1)
+		go func() {
+			answered <- tp.do(context.Background(), http.MethodPut, "/book", strings.NewReader(strings.Repeat("x", longBody)))
+		}()
+		<-arrived
+		sp.shutdown(t)
+		resp := <-answered
+		require.NoError(t, resp.err)
+		require.Equal(t, http.StatusOK, resp.status, resp.body)
+		require.Equal(t, "done", resp.body)
+	}
+}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -46,7 +46,7 @@
 	ReadyTimeout           time.Duration // how long a request waits for the first document; 0 refuses it immediately
 	RetryAfter             time.Duration // delay suggested with refusals that have none of their own
 	ServerIdleTimeout      time.Duration // idle connection to a server; IdleTimeout when 0
-	SendTimeout            time.Duration // how long sent bytes may stay unacknowledged before the connection is closed; 0 uses the system's default
+	SendTimeout            time.Duration // how long a server may acknowledge nothing of what was sent before its connection is closed; 0 uses the system's default
 	UnusedTransportTTL     time.Duration // transports of servers that were unused for this long are evicted
 }
 
--- a/pkg/proxy/serverconn.go
+++ b/pkg/proxy/serverconn.go
@@ -7,8 +7,11 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/netutil"
 )
 
 // Reasons why a connection refuses the first byte of a request.
@@ -168,20 +171,81 @@
 	reused       bool
 	untrusted    bool // a response was suspect, or bytes were received before a request was sent
 
-	sendErr error // the connection's failure, if a write returned it
+	failure error // of the connection, if a write returned it or the server was found unresponsive
+
+	sendTimeout time.Duration // how long the server may acknowledge nothing of what was sent; 0 for no limit
+	readAcks    func() (netutil.AckState, error)
+	acks        netutil.AckMonitor
+	ackTimer    *time.Timer // runs while a request is sent or answered; nil before the first
 }
 
-func newServerConn(c *net.TCPConn, count func(n int), onClose func()) (*serverConn, error) {
+func newServerConn(c *net.TCPConn, sendTimeout time.Duration, count func(n int), onClose func()) (*serverConn, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &serverConn{Conn: c, raw: raw, countBytes: count, onClose: onClose}, nil
+	return &serverConn{Conn: c, raw: raw, sendTimeout: sendTimeout, countBytes: count, onClose: onClose,
+		readAcks: func() (netutil.AckState, error) { return netutil.ReadAckState(raw) }}, nil
+}
+
+// ackChecks is how often the acknowledgements are checked within the send timeout.
+const ackChecks = 4
+
+// watchAcks starts the checks of the server's acknowledgements. mu must be held.
+func (c *serverConn) watchAcks() {
+	if c.sendTimeout <= 0 {
+		return
+	}
+	c.acks = netutil.AckMonitor{}
+	if c.ackTimer == nil {
+		c.ackTimer = time.AfterFunc(c.sendTimeout/ackChecks, c.checkAcks)
+		return
+	}
+	c.ackTimer.Reset(c.sendTimeout / ackChecks)
+}
+
+// stopAcks ends the checks. mu must be held.
+func (c *serverConn) stopAcks() {
+	if c.ackTimer != nil {
+		c.ackTimer.Stop()
+	}
+}
+
+// checkAcks closes the connection if the server has become unresponsive.
+func (c *serverConn) checkAcks() {
+	if !c.isUnresponsive(time.Now()) {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // what is not sent yet must not reach the server later
+	}
+	_ = c.Conn.Close() // reads and writes fail now, and net/http calls Close
+}
+
+// isUnresponsive reports whether the server has acknowledged nothing for the send timeout. If not, it schedules the next
+// check.
+func (c *serverConn) isUnresponsive(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle || c.failure != nil {
+		return false
+	}
+	state, err := c.readAcks()
+	if err != nil {
+		return false // closed
+	}
+	if c.acks.Observe(now, state) < c.sendTimeout {
+		c.ackTimer.Reset(c.sendTimeout / ackChecks)
+		return false
+	}
+	c.failure = syscall.ETIMEDOUT
+	return true
 }
 
 func (c *serverConn) setOwner(wire *wireAttempt, refuseWrites, reused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.stopAcks()
 	c.owner, c.sendStarted, c.refuseWrites, c.reused, c.idle = wire, false, refuseWrites, reused, false
 }
 
@@ -191,6 +255,7 @@
 	defer c.mu.Unlock()
 	if c.owner == wire {
 		c.idle = true
+		c.stopAcks()
 	}
 }
 
@@ -241,14 +306,14 @@
 			return false
 		}
 		// EPIPE is no failure of the connection: it follows the end of the stream, or a failure that was reported before.
-		if err != nil && err != syscall.EPIPE && c.sendErr == nil {
-			c.sendErr = err
+		if err != nil && err != syscall.EPIPE && c.failure == nil {
+			c.failure = err
 		}
 		return true
 	})
 	switch {
 	case rawErr != nil:
-		return sent, rawErr
+		return sent, c.closedError("write", rawErr)
 	case err != nil:
 		return sent, opError(c.Conn, "write", err)
 	}
@@ -279,6 +344,7 @@
 		return nil, false, err
 	}
 	c.sendStarted = true
+	c.watchAcks()
 	return wire, true, nil
 }
 
@@ -375,7 +441,7 @@
 			return false
 		}
 		if n == 0 && err == nil {
-			err = c.sendErr
+			err = c.failure
 		}
 		switch {
 		case n > 0 && c.idle:
@@ -394,13 +460,26 @@
 	if err == errStrayBytes && rawErr == nil {
 		return 0, err
 	}
-	n, err = readResult(c.Conn, n, err, rawErr)
+	n, err = readResult(c.Conn, n, err, c.closedError("read", rawErr))
 	c.countBytes(n)
 	return n, err
 }
 
+// closedError returns the error of a call on a closed connection: the failure because of which it was closed, if any.
+func (c *serverConn) closedError(call string, err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil || c.failure == nil {
+		return err
+	}
+	return opError(c.Conn, call, c.failure)
+}
+
 // Close closes the connection and calls onClose the first time.
 func (c *serverConn) Close() error {
+	c.mu.Lock()
+	c.stopAcks()
+	c.mu.Unlock()
 	c.closeOnce.Do(c.onClose)
 	return c.Conn.Close()
 }
--- a/pkg/proxy/serverconn_test.go
+++ b/pkg/proxy/serverconn_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
+	"github.com/fulmarbeam/fulmarbeam/pkg/netutil"
 	"github.com/fulmarbeam/fulmarbeam/pkg/result"
 )
 
@@ -29,7 +30,7 @@
 	defer l.Close()
 	d, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
-	c, err := newServerConn(d.(*net.TCPConn), func(int) {}, func() {})
+	c, err := newServerConn(d.(*net.TCPConn), 0, func(int) {}, func() {})
 	require.NoError(t, err)
 	defer c.Close()
 	peer, err := l.Accept()
@@ -172,7 +173,7 @@
 	defer l.Close()
 	d, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
-	c, err := newServerConn(d.(*net.TCPConn), func(int) {}, func() {})
+	c, err := newServerConn(d.(*net.TCPConn), 0, func(int) {}, func() {})
 	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
 	peer, err := l.Accept()
@@ -204,6 +205,41 @@
 	require.Equal(t, " of a response", string(rest))
 }
 
+// Guards against a server that cannot be reached any more and is waited for until the deadline, and against bytes that
+// reach it later. The kernel's state is a fake, since no packet is lost on a loopback address.
+func TestUnresponsiveServerIsGivenUp(t *testing.T) {
+	c, peer := dialServerConn(t)
+	c.mu.Lock()
+	c.sendTimeout = 20 * time.Millisecond
+	c.readAcks = func() (netutil.AckState, error) { return netutil.AckState{Outstanding: true, SinceAck: time.Hour}, nil }
+	c.watchAcks()
+	c.mu.Unlock()
+	sent := make(chan error, 1)
+	go func() {
+		_, err := c.Write(make([]byte, longBody))
+		sent <- err
+	}()
+	_, err := io.ReadAll(c)
+	require.ErrorIs(t, err, syscall.ETIMEDOUT)
+	require.ErrorIs(t, <-sent, syscall.ETIMEDOUT)
+	_, err = io.Copy(io.Discard, peer)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
+// Guards against a connection that is checked although no request is on it, and closed for what the last one left behind.
+func TestIdleConnectionIsNotWatched(t *testing.T) {
+	c, _ := dialServerConn(t)
+	c.mu.Lock()
+	c.sendTimeout = time.Nanosecond
+	c.readAcks = func() (netutil.AckState, error) { return netutil.AckState{Outstanding: true}, nil }
+	wire := c.owner
+	c.mu.Unlock()
+	wire.putIdle(nil)
+	for range 3 {
+		require.False(t, c.isUnresponsive(time.Now()))
+	}
+}
+
 // Guards against a complete response that is taken for a broken one, because the server closed the connection after it
 // while the request was still being sent.
 func TestEndBeforeAResetIsTheEnd(t *testing.T) {
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -92,7 +92,7 @@
 		count = func(n int) { c.Add(n) }
 	}
 	conns := t.metrics.conns(s.Service)
-	dialer := netutil.NewDialer(t.limits.ConnectTimeout, t.limits.SendTimeout)
+	dialer := netutil.NewDialer(t.limits.ConnectTimeout, t.limits.SendTimeout > 0)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	return &http.Transport{
@@ -107,7 +107,7 @@
 				return nil, errors.Errorf("connection to %s is not TCP", s.Addr)
 			}
 			conns.Inc()
-			return newServerConn(tcp, count, conns.Dec)
+			return newServerConn(tcp, t.limits.SendTimeout, count, conns.Dec)
 		},
 		Protocols:              &protocols,
 		DisableCompression:     true, // responses are forwarded unchanged
