--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -80,6 +80,7 @@
 	members        *mesh.Members
 	announced      bool
 	announcing     bool
+	announceAt     fleet.Time // earliest time of the next announcement
 	discovering    bool
 	discoveredAt   fleet.Time
 	pendingDigest  *balance.Digest // received from a VM of the zone before the servers are known
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -17,6 +17,9 @@
 // discoveryInterval is the interval at which an isolated VM looks up addresses in the store.
 const discoveryInterval = 2 * time.Second
 
+// announceRetryDelay is the delay after a failed announcement, as between the lookups of VMs that wait for it.
+const announceRetryDelay = discoveryInterval
+
 // startupWindow is how long after its start a VM requests the health estimates of its zone's servers.
 const startupWindow = 3 * time.Second
 
@@ -67,7 +70,7 @@
 		addr, _ := g.members.Addr(vm)
 		go g.fetchSnapshot(vm, addr)
 	}
-	if g.follower.IsReader() && !g.announced && !g.announcing {
+	if g.follower.IsReader() && !g.announced && !g.announcing && now >= g.announceAt {
 		g.announcing = true
 		go g.announce()
 	}
@@ -109,7 +112,12 @@
 	if err != nil {
 		g.log.Info("could not store the address of this VM", "error", err.Error())
 	}
-	g.update(func(fleet.Time) { g.announcing, g.announced = false, true })
+	g.update(func(now fleet.Time) {
+		g.announcing, g.announced = false, err == nil
+		if err != nil {
+			g.announceAt = now.Add(announceRetryDelay)
+		}
+	})
 }
 
 // discoverVMs looks up the addresses of other VMs in the store.
