--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -10,10 +11,12 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
 	"github.com/fulmarbeam/fulmarbeam/pkg/fleet"
 	"github.com/fulmarbeam/fulmarbeam/pkg/follower"
+	"github.com/fulmarbeam/fulmarbeam/pkg/wire"
 )
 
 // testFleet runs the membership protocol of a fleet on a fake clock.
@@ -287,3 +290,21 @@
 		require.Equal(t, id == "vm1", slices.Contains(m.HelloTargets(2), far.Addr), id)
 	}
 }
+
+// Guards against a message that is lost without its cause: the log line of one that cannot be sent has the error.
+func TestMessageThatCannotBeSentIsLoggedWithItsCause(t *testing.T) {
+	var lines []string
+	log := funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+	transport, err := Listen("127.0.0.1:0", nil, log)
+	require.NoError(t, err)
+	defer transport.Close()
+	noise := make([]byte, 2*maxDatagram)
+	random := rand.NewChaCha8([32]byte{1})
+	_, _ = random.Read(noise)
+	transport.Send(&Compressed{noise}, "127.0.0.1:9")
+	require.Len(t, lines, 1)
+	require.Contains(t, lines[0], "bytes exceed the limit of a datagram")
+	transport.Send(&Compressed{make([]byte, wire.MaxFrameBytes)}, "127.0.0.1:9")
+	require.Len(t, lines, 2)
+	require.NotContains(t, lines[1], "bytes exceed the limit of a datagram")
+}
