--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -321,7 +321,7 @@
 	b.attempts[w.ID] = &attempt{server: s.entry.Server.ID, service: w.Service, route: w.Route, request: w.RequestID, started: now.Add(delay), final: !w.Idempotent || w.MaxRetries < 1,
 		incarnation: s.entry.Incarnation, usedBefore: s.lastUsed}
 	if s.notices.limit.named {
-		b.startLimited(now, s)
+		b.startLimited(now, now.Add(delay), s)
 	}
 	s.lastUsed = now.Add(delay)
 	b.zone.schedule(now)
--- a/pkg/balance/limit.go
+++ b/pkg/balance/limit.go
@@ -17,7 +17,7 @@
 // filled at the limit's rate and charged with its own attempts and with those that other VMs report. Requests
 // that several VMs send before they hear of each other overdraw the bucket, and the next ones wait until the
 // debt is paid. VMs of other regions, which hear of these attempts late, leave servers with a limit to the
-// VMs of their region.
+// VMs of their region. While those say nothing of the limit, one VM of each other region uses a small part of it.
 
 const (
 	// limitBurst is how much of an unused limit is kept for a burst; at least one request.
@@ -27,8 +27,16 @@
 	// minLimitRate is the least rate, in requests per second of a region, at which a server is used. Only a
 	// response can show that its limit has ended.
 	minLimitRate = 0.25
-	// remoteLimitTTL is how long a VM of another region holds a limit in effect without hearing of it again.
+	// remoteLimitTTL is how long other regions leave a server alone after a VM of its zone told them of its limit.
 	remoteLimitTTL = 10 * time.Second
+	// remoteLimitShare is the part of a limit that each other region uses. The VMs of the server's region do not hear
+	// of these requests, so three other regions together stay below a third of the limit.
+	remoteLimitShare = 0.1
+	// minRemoteLimitRate is the least rate, in requests per second of another region. It keeps other regions from
+	// holding on to a limit that has ended while the server's own region does not use the server.
+	minRemoteLimitRate = 0.125
+	// maxRemoteLimitUsers is the number of VMs of another region that use a server with a limit.
+	maxRemoteLimitUsers = 1
 	// noticeReportTTL is how long a change of a server's limit or use is part of each report. A lost report
 	// then delays it until the next one.
 	noticeReportTTL = time.Second
@@ -58,6 +66,10 @@
 	starts     uint32                // attempts of this VM since it knows the limit
 	recent     []fleet.Time          // when those of the last noticeReportTTL were started
 	peerStarts map[fleet.VMID]uint32 // the same of other VMs, by their last reports
+
+	// Of the server of another region:
+	toldAt     fleet.Time // when its zone told of the limit; 0 for never
+	remoteNext fleet.Time // earliest time of this VM's next request
 }
 
 // limitResponse is what the latest response to this VM says about a server's limit.
@@ -93,12 +105,21 @@
 		*l = rateLimit{updated: at, own: l.own}
 		return
 	}
-	if !l.named {
+	begins := !l.named
+	if begins {
 		l.filled = now
 	} else {
 		l.fill(now)
 	}
 	l.rate, l.named, l.updated = max(rate, minLimitRate), true, at
+	if begins {
+		l.remoteNext = now.Add(l.remoteInterval())
+	}
+}
+
+// remoteInterval is the interval between two requests of another region to the server.
+func (l *rateLimit) remoteInterval() time.Duration {
+	return time.Duration(float64(time.Second) / max(minRemoteLimitRate, remoteLimitShare*l.rate))
 }
 
 // burst returns the capacity of the bucket.
@@ -161,15 +182,14 @@
 	switch {
 	case !l.named:
 		return 0
-	case s.distance == otherRegion:
-		if now < l.updated.Add(remoteLimitTTL) {
-			return math.MaxInt64
-		}
-		return 0
 	case !b.usesLimit(now, s):
 		return math.MaxInt64
+	case s.distance != otherRegion:
+		return l.wait(now)
+	case l.toldAt != 0 && now.Sub(l.toldAt) < remoteLimitTTL:
+		return math.MaxInt64
 	}
-	return l.wait(now)
+	return max(0, l.remoteNext.Sub(now))
 }
 
 // usesLimit reports whether this VM is one of the users of the server's limit.
@@ -185,12 +205,16 @@
 // not one of them. VMs of the server's zone precede others, and a hash orders those of a group differently for
 // each server.
 func (b *Balancer) isPreceded(s *server) bool {
+	users := maxLimitUsers
+	if s.distance == otherRegion {
+		users = maxRemoteLimitUsers
+	}
 	hash := func(vm fleet.VMID) uint64 { return xxhash.Sum64String(string(vm) + "/" + string(s.entry.Server.ID)) }
 	own, inOwnGroup, preceding := hash(b.cfg.Self), s.distance == inZone, 0
 	for id, p := range b.peers {
 		near := p.zone == s.entry.Server.Zone
 		if near && !inOwnGroup || near == inOwnGroup && hash(id) > own {
-			if preceding++; preceding >= maxLimitUsers {
+			if preceding++; preceding >= users {
 				return true
 			}
 		}
@@ -198,10 +222,11 @@
 	return false
 }
 
-// startLimited records an attempt of this VM at a server with a limit.
-func (b *Balancer) startLimited(now fleet.Time, s *server) {
+// startLimited records an attempt of this VM, sent at a time, at a server with a limit.
+func (b *Balancer) startLimited(now, at fleet.Time, s *server) {
 	l := &s.notices.limit
 	l.charge(now, 1)
+	l.remoteNext = at.Add(l.remoteInterval())
 	l.starts++
 	l.recentStarts(now)
 	l.recent = append(l.recent, now)
@@ -307,6 +332,9 @@
 
 // applyDigestLimit applies a limit from a digest, unless this VM has later information.
 func (l *rateLimit) applyDigestLimit(now fleet.Time, rate float32) {
+	if rate > 0 {
+		l.toldAt = max(now, 1)
+	}
 	if l.updated == 0 && rate == 0 || l.updated != 0 && now.Sub(l.updated) < ownOutcomeTTL {
 		return
 	}
--- a/pkg/fleetsim/limits_test.go
+++ b/pkg/fleetsim/limits_test.go
@@ -64,3 +64,24 @@
 		require.GreaterOrEqual(t, r.LimitUse, 0.95, seed)
 	}
 }
+
+// smallFleet returns a scenario of a service with few servers, all of which name a limit.
+func smallFleet(t *testing.T, rate, limit float64, zones ...Zone) *Scenario {
+	s := loadScenario(t, "limits")
+	s.Zones, s.Rate, s.RateAmplitude, s.Failing = zones, rate, 0, Failing{}
+	s.Limits.Share, s.Limits.Rate = 1, limit
+	return s
+}
+
+// Guards against VMs of another region that send servers with a limit their whole load: the VM of the servers' region has
+// no callers, so that it says nothing of the limit.
+func TestRateLimitsHoldForCallersOfAnotherRegion(t *testing.T) {
+	for seed := range uint64(8) {
+		s := smallFleet(t, 28, 0.5, Zone{Name: "addis-a", Region: "addis", VMs: 1, Servers: 2, Idle: true}, Zone{Name: "hawassa-a", Region: "hawassa", VMs: 3},
+			Zone{Name: "bahirdar-a", Region: "bahirdar", VMs: 3})
+		r := runScenario(t, s, seed)
+		require.LessOrEqual(t, r.OverLimit, 0.0, seed)
+		require.Positive(t, r.LimitUse, seed)
+		require.Positive(t, r.InTime, seed)
+	}
+}
--- a/pkg/fleetsim/simulation.go
+++ b/pkg/fleetsim/simulation.go
@@ -137,9 +137,12 @@
 	})
 }
 
-// startRequest sends a new request to a random VM. If that VM is down, the request is lost.
+// startRequest sends a new request to a random VM of the zones with callers. If that VM is down, the request is lost.
 func (sim *simulation) startRequest() {
 	v := sim.vms[sim.rand.IntN(len(sim.vms))]
+	for v.zone.Idle {
+		v = sim.vms[sim.rand.IntN(len(sim.vms))]
+	}
 	route := sim.drawRoute()
 	sim.report.addRequest(sim.now, route)
 	if !v.up {
