--- a/pkg/balance/digest.go
+++ b/pkg/balance/digest.go
@@ -43,7 +43,10 @@
 	Server fleet.ServerID
 	Risk   float32 // probability that the server is failing
 	Load   int     // requests in flight at the server
-	Limit  float32 // rate limit that the server names, in requests per second; 0 for none
+	Limit  float32 // rate limit that the server names, in requests per second; 0 if it names none, or if none is known
+
+	Unlimited  bool  // a response shows that the server names no limit
+	LimitAgeMS int64 // milliseconds from the response that shows Limit or Unlimited to the digest
 }
 
 // ServiceStats counts a service's recent requests and failures in one zone. Older outcomes weigh
@@ -77,11 +80,13 @@
 	d := Digest{Zone: b.cfg.Zone}
 	for id, s := range b.servers {
 		risk := s.health.riskAt(now)
-		limit := s.notices.limit.digestLimit()
-		if s.distance != inZone || limit == 0 && s.load() == 0 && risk < baselineRisk+digestMinDeviation && risk > baselineRisk-digestMinDeviation {
+		limit := &s.notices.limit
+		if s.distance != inZone || !limit.isNews(now) && s.load() == 0 && risk < baselineRisk+digestMinDeviation && risk > baselineRisk-digestMinDeviation {
 			continue
 		}
-		d.Servers = append(d.Servers, ServerEstimate{Server: id, Risk: float32(risk), Load: s.load(), Limit: limit})
+		e := ServerEstimate{Server: id, Risk: float32(risk), Load: s.load()}
+		limit.estimate(now, &e)
+		d.Servers = append(d.Servers, e)
 	}
 	slices.SortFunc(d.Servers, func(x, y ServerEstimate) int { return cmp.Compare(x.Server, y.Server) })
 	for name, svc := range b.services {
@@ -105,9 +110,7 @@
 		if s.distance != inZone {
 			s.digestLoad, s.digestLoadUpdated = max(0, e.Load-s.local), now
 		}
-		if isRate(e.Limit) {
-			s.notices.limit.applyDigestLimit(now, e.Limit)
-		}
+		s.notices.limit.applyEstimate(now, e)
 		if s.lastOutcome == 0 || now.Sub(s.lastOutcome) >= ownOutcomeTTL {
 			s.health = healthEstimate{min(max(float64(e.Risk), minRisk), maxRisk), now}
 		}
--- a/pkg/balance/limit.go
+++ b/pkg/balance/limit.go
@@ -18,6 +18,9 @@
 // that several VMs send before they hear of each other overdraw the bucket, and the next ones wait until the
 // debt is paid. VMs of other regions, which hear of these attempts late, leave servers with a limit to the
 // VMs of their region. While those say nothing of the limit, one VM of each other region uses a small part of it.
+//
+// A limit holds until a response shows that it has ended: an own one, or one that another VM reports with its
+// age. That a VM does not know of a limit says nothing.
 
 const (
 	// limitBurst is how much of an unused limit is kept for a burst; at least one request.
@@ -43,6 +46,14 @@
 	// maxLimitUsers is the number of VMs that use a server with a limit. More would send it requests at the same
 	// time, before they hear of each other.
 	maxLimitUsers = 12
+	// maxNoticeAge bounds the age of what another VM reports of a server's response. A limit does not end with time, so an
+	// old report is as good as a new one unless a later response is known.
+	maxNoticeAge = departedTTL
+	// limitEndMargin is taken off the time of a response that ends a limit, if a digest reports it: digests travel
+	// longer than responses, and one that was sent before the limit must not look later.
+	limitEndMargin = 500 * time.Millisecond
+	// limitEndTTL is how long after its end a digest says that the limit of an idle server has ended.
+	limitEndTTL = 10 * time.Second
 	// limitUserInterval is the interval at which the users of a limit are determined.
 	limitUserInterval = time.Second
 	// maxReportedRate is the largest rate, in requests per second, that is taken from a message.
@@ -55,7 +66,9 @@
 type rateLimit struct {
 	rate    float64    // requests per second
 	named   bool       // the server names a limit at present
-	updated fleet.Time // when the latest response that names the limit, or shows that it has ended, was received; 0 for never
+	known   bool       // a response is known that names a limit, or shows that there is none
+	updated fleet.Time // when the latest such response was received; negative if that was before the start of this VM
+	endedAt fleet.Time // when the end of the latest limit became known; 0 for never
 	own     limitResponse
 
 	excluded  bool       // this VM is not one of the users of the limit
@@ -98,11 +111,14 @@
 // set applies what a response received at the given time says, unless a later one is known. A bucket
 // starts empty, since the server got as many requests as it could before.
 func (l *rateLimit) set(now, at fleet.Time, rate float64, named bool) {
-	if at <= l.updated {
+	if l.known && at <= l.updated {
 		return
 	}
 	if !named {
-		*l = rateLimit{updated: at, own: l.own}
+		if l.named {
+			*l = rateLimit{own: l.own, endedAt: max(now, 1)}
+		}
+		l.known, l.updated = true, at
 		return
 	}
 	begins := !l.named
@@ -111,7 +127,7 @@
 	} else {
 		l.fill(now)
 	}
-	l.rate, l.named, l.updated = max(rate, minLimitRate), true, at
+	l.rate, l.named, l.known, l.updated = max(rate, minLimitRate), true, true, at
 	if begins {
 		l.remoteNext = now.Add(l.remoteInterval())
 	}
@@ -256,16 +272,21 @@
 	b.noticeChanged(now, s)
 }
 
-// endLimit ends the limit if a response without one was received after the latest that named one.
+// endLimit records a response without a limit, and ends the limit if it was received after the latest that named one.
 func (b *Balancer) endLimit(now, at fleet.Time, s *server) {
 	l := &s.notices.limit
-	if !l.named || at <= l.updated {
+	if l.known && at <= l.updated {
 		return
 	}
-	b.noticeEvent("server_limit_ended", s, "a response does not name it", map[string]string{"before": l.String()})
+	ends := l.named
+	if ends {
+		b.noticeEvent("server_limit_ended", s, "a response does not name it", map[string]string{"before": l.String()})
+	}
 	l.own = limitResponse{at: at}
 	l.set(now, at, 0, false)
-	b.noticeChanged(now, s)
+	if ends {
+		b.noticeChanged(now, s)
+	}
 }
 
 // endsLimit reports whether a response shows that its server names no limit. Only one that the server
@@ -322,21 +343,38 @@
 // isRate reports whether a rate in a message is possible; comparisons with NaN are false.
 func isRate(r float32) bool { return r >= 0 && r <= maxReportedRate }
 
-// digestLimit returns a server's limit for a digest; 0 if it names none.
-func (l *rateLimit) digestLimit() float32 {
-	if !l.named {
-		return 0
+// isNoticeAge reports whether an age in a message, in milliseconds, is one of a response.
+func isNoticeAge(ms int64) bool { return ms >= 0 && ms <= maxNoticeAge.Milliseconds() }
+
+// estimate adds what this VM knows of the limit to the estimate of its server.
+func (l *rateLimit) estimate(now fleet.Time, e *ServerEstimate) {
+	if !l.known {
+		return
+	}
+	e.LimitAgeMS = max(0, now.Sub(l.updated).Milliseconds())
+	if l.named {
+		e.Limit = float32(l.rate)
+	} else {
+		e.Unlimited = true
 	}
-	return float32(l.rate)
 }
 
-// applyDigestLimit applies a limit from a digest, unless this VM has later information.
-func (l *rateLimit) applyDigestLimit(now fleet.Time, rate float32) {
-	if rate > 0 {
-		l.toldAt = max(now, 1)
-	}
-	if l.updated == 0 && rate == 0 || l.updated != 0 && now.Sub(l.updated) < ownOutcomeTTL {
+// isNews reports whether a digest must tell of the limit although nothing else is to be said of its server.
+func (l *rateLimit) isNews(now fleet.Time) bool {
+	return l.named || l.endedAt != 0 && now.Sub(l.endedAt) <= limitEndTTL
+}
+
+// applyEstimate applies what another VM knows of the limit, unless a later response is known here.
+func (l *rateLimit) applyEstimate(now fleet.Time, e ServerEstimate) {
+	if !isNoticeAge(e.LimitAgeMS) || !isRate(e.Limit) {
 		return
 	}
-	l.set(now, now, float64(rate), rate > 0)
+	at := now.Add(-time.Duration(e.LimitAgeMS) * time.Millisecond)
+	switch {
+	case e.Limit > 0:
+		l.toldAt = max(now, 1)
+		l.set(now, at, float64(e.Limit), true)
+	case e.Unlimited:
+		l.set(now, at.Add(-limitEndMargin), 0, false)
+	}
 }
--- a/pkg/balance/limit_test.go
+++ b/pkg/balance/limit_test.go
@@ -219,7 +219,7 @@
 func TestOtherRegionsUseASmallPartOfALimit(t *testing.T) {
 	for _, rate := range []float32{0.5, 4, 60} {
 		tb := newRemoteBalancer(t, rate)
-		told := Digest{Zone: "hawassa-a", Servers: []ServerEstimate{{Server: "a", Risk: 0.1, Limit: rate}}}
+		told := Digest{Zone: "hawassa-a", Servers: []ServerEstimate{{Server: "a", Risk: 0.1, Limit: rate, LimitAgeMS: 9000}}}
 		for range 20 {
 			require.Zero(t, tb.countSent(time.Second, rateLimited(float64(rate))), "the VMs of its region use the limit")
 			tb.ApplyDigest(tb.now, told)
@@ -253,3 +253,46 @@
 	}
 	require.Equal(t, 1, users)
 }
+
+// Guards against a digest of a VM that does not know of a limit, for example since it has just started, and ends it.
+func TestIgnorantDigestEndsNoLimit(t *testing.T) {
+	started := newTestBalancer(t)
+	started.cfg.Zone = "addis-b"
+	started.putServer("a", "addis", "addis-b", fleet.StateLive)
+	started.choose(nil) // in flight, so that the server is in the digest
+	d := started.Digest(started.now)
+	require.Len(t, d.Servers, 1)
+
+	tb := newLimitedBalancer(t, 0.25)
+	for range 10 {
+		tb.now = tb.now.Add(2 * time.Second)
+		tb.ApplyDigest(tb.now, d)
+		limited, _, _ := tb.NoticeCounts(tb.now)
+		require.Equal(t, 1, limited)
+	}
+}
+
+// Guards against a VM that holds on to a limit whose end it did not hear of, and against an end that is older than the
+// limit: a digest tells both with the age of the response.
+func TestDigestTellsTheEndOfALimit(t *testing.T) {
+	limited := func(tb *testBalancer) bool { n, _, _ := tb.NoticeCounts(tb.now); return n == 1 }
+	sender := newLimitedBalancer(t, 4)
+	sender.now = sender.now.Add(3 * time.Second)
+	sender.respond(sender.choose(nil), pool.EndOK, pool.ServerNotice{})
+	sender.now = sender.now.Add(2 * time.Second)
+	ended := sender.Digest(sender.now)
+	require.Len(t, ended.Servers, 1, "the end is told although the server is idle")
+
+	tb := newLimitedBalancer(t, 4)
+	tb.now = tb.now.Add(time.Second)
+	tb.ApplyDigest(tb.now, ended)
+	require.True(t, limited(tb), "the limit was named after the end that the digest reports")
+	tb.now = tb.now.Add(4 * time.Second)
+	tb.ApplyDigest(tb.now, ended)
+	require.False(t, limited(tb))
+
+	sender.now = sender.now.Add(limitEndTTL)
+	require.False(t, sender.servers["a"].notices.limit.isNews(sender.now))
+	sender.choose(nil)
+	require.True(t, sender.Digest(sender.now).Servers[0].Unlimited, "a server in use")
+}
--- a/pkg/fleetsim/limits_test.go
+++ b/pkg/fleetsim/limits_test.go
@@ -85,3 +85,16 @@
 		require.Positive(t, r.InTime, seed)
 	}
 }
+
+// Guards against a VM that has just started, knows of no limit and ends it at the others: it is the only one in the
+// server's zone, and so sends that zone's digest.
+func TestRateLimitsHoldWhenTheServersZoneRestarts(t *testing.T) {
+	for seed := range uint64(8) {
+		for _, at := range []time.Duration{11 * time.Second, 14 * time.Second, 19 * time.Second} {
+			s := smallFleet(t, 12, 0.25, Zone{Name: "addis-a", Region: "addis", VMs: 3}, Zone{Name: "addis-b", Region: "addis", VMs: 1, Servers: 1})
+			s.Restart = &Restart{Zone: "addis-b", At: document.Duration(at), Down: document.Duration(time.Second)}
+			r := runScenario(t, s, seed)
+			require.LessOrEqual(t, r.OverLimit, 0.0, "seed %d, restart at %s", seed, at)
+		}
+	}
+}
--- a/pkg/fleetsim/scenario.go
+++ b/pkg/fleetsim/scenario.go
@@ -70,8 +70,9 @@
 	ErrorRatio   float64           `json:"errors"`  // fraction of other requests that fail after their work
 }
 
-// Restart stops all VMs at the same time and starts them again.
+// Restart stops all VMs, or those of one zone, at the same time and starts them again.
 type Restart struct {
+	Zone   fleet.Zone        `json:"zone,omitempty"` // empty for all zones
 	At     document.Duration `json:"at"`
 	Down   document.Duration `json:"down"`
 	Spread document.Duration `json:"spread"` // start times are spread over this duration
--- a/pkg/fleetsim/simulation.go
+++ b/pkg/fleetsim/simulation.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// scheduleRestart schedules the scenario's restart of all VMs, if it has one.
+// scheduleRestart schedules the scenario's restart of VMs, if it has one.
 func (sim *simulation) scheduleRestart() {
 	plan := sim.scenario.Restart
 	if plan == nil {
@@ -119,6 +119,9 @@
 	}
 	sim.schedule(time.Duration(plan.At), func() {
 		for _, v := range sim.vms {
+			if plan.Zone != "" && plan.Zone != v.zone.Name {
+				continue
+			}
 			v.up = false
 			sim.schedule(time.Duration(plan.Down)+time.Duration(sim.rand.Float64()*float64(plan.Spread)), func() { sim.start(v) })
 		}
