A VM that is heard for the first time is told limits and departures

Cause: reports name a server's limit, or its departure, for a second after a change. A VM that starts later heard nothing of servers outside its zone, and of low limits in it, until it had sent its whole load and got a response.

Change: the first report of a VM makes the others of the region report again what servers said to them.

--- a/pkg/balance/limit.go
+++ b/pkg/balance/limit.go
@@ -332,7 +332,7 @@
 		s.notices.leaving = true
 	}
 	l := &s.notices.limit
-	if u.AgeMS >= 0 && u.AgeMS <= maxObservationAge.Milliseconds() && isRate(u.Rate) {
+	if isNoticeAge(u.AgeMS) && isRate(u.Rate) {
 		l.set(now, now.Add(-time.Duration(u.AgeMS)*time.Millisecond), float64(u.Rate), u.Named)
 	}
 	if l.named {
--- a/pkg/balance/limit_test.go
+++ b/pkg/balance/limit_test.go
@@ -296,3 +296,32 @@
 	sender.choose(nil)
 	require.True(t, sender.Digest(sender.now).Servers[0].Unlimited, "a server in use")
 }
+
+// Guards against a VM that has just started and learns of a limit only from responses: the others tell it when they
+// first hear it, also of responses from before its start.
+func TestStartedVMIsToldOfLimits(t *testing.T) {
+	first := newLimitedBalancer(t, 0.5)
+	leaving := fleet.ServerID("b")
+	first.putServer("b", "addis", "addis-a", fleet.StateLive)
+	first.servers[leaving].notices.leaving = true
+	first.now = first.now.Add(30 * time.Second)
+	_, _ = first.Reports(first.now)
+	started := newTestBalancer(t, "a", "b")
+	started.now = second / 10
+	first.ApplyReport(first.now, "vm1", Report{Zone: "addis-a"})
+	zone, region := first.Reports(first.now.Add(100 * time.Millisecond))
+	for _, r := range []*Report{zone, region} {
+		require.NotNil(t, r)
+		require.Len(t, r.Notices, 2)
+	}
+	started.ApplyReport(started.now, "vm0", *zone)
+	limited, left, _ := started.NoticeCounts(started.now)
+	require.Equal(t, []int{1, 1}, []int{limited, left})
+	// A later response counts, and an earlier one does not, although both came before the start.
+	started.ApplyReport(started.now, "vm2", Report{Zone: "addis-a", Notices: []ServerNotice{{Server: "a", AgeMS: 40_000}}})
+	limited, _, _ = started.NoticeCounts(started.now)
+	require.Equal(t, 1, limited)
+	started.ApplyReport(started.now, "vm2", Report{Zone: "addis-a", Notices: []ServerNotice{{Server: "a", AgeMS: 20_000}}})
+	limited, _, _ = started.NoticeCounts(started.now)
+	require.Zero(t, limited)
+}
--- a/pkg/balance/notice.go
+++ b/pkg/balance/notice.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// tellNotices schedules reports of what servers said to this VM, for a VM that is heard for the first time: it may have
+// started just now.
+func (b *Balancer) tellNotices(now fleet.Time) {
+	for _, s := range b.servers {
+		if s.notices.leaving || s.notices.limit.named && s.notices.limit.own.named {
+			b.noticeChanged(now, s)
+		}
+	}
+}
+
 // pause keeps requests away for d, and reports whether that is longer than before.
 func (n *notices) pause(now fleet.Time, d time.Duration) bool {
 	if until := now.Add(d); d > 0 && until > n.pausedUntil {
--- a/pkg/balance/observe.go
+++ b/pkg/balance/observe.go
@@ -241,6 +241,7 @@
 	if p == nil {
 		p = &peer{}
 		b.peers[from] = p
+		b.tellNotices(now)
 	}
 	p.lastReport, p.zone = now, r.Zone
 	old := p.loads
