A rate limit that is named while the server's registration is missing is kept

Cause: of a response that arrives after the registration was removed, only a departure and a pause were kept. When the registration came back, as after an outage of the store, the server got the whole load until the next response.

Result: TestLimitNamedAfterRemovalIsKept failed before: the first request after the return was sent without a wait.

--- a/pkg/balance/limit_test.go
+++ b/pkg/balance/limit_test.go
@@ -325,3 +325,15 @@
 	limited, _, _ = started.NoticeCounts(started.now)
 	require.Zero(t, limited)
 }
+
+// Guards against a limit that is forgotten because the response that names it arrives when the server's registration is
+// missing.
+func TestLimitNamedAfterRemovalIsKept(t *testing.T) {
+	tb := newTestBalancer(t, "a")
+	d, e := tb.choose(nil), tb.servers["a"].entry
+	tb.Apply(tb.now, []registry.Change{{ID: "a"}})
+	tb.respond(d, pool.EndOK, rateLimited(2))
+	tb.Apply(tb.now, []registry.Change{{ID: "a", Entry: &e}})
+	require.Equal(t, 500*time.Millisecond, tb.choose(nil).Delay)
+	require.InDelta(t, 20, tb.countSent(10*time.Second, rateLimited(2)), 3)
+}
--- a/pkg/balance/notice.go
+++ b/pkg/balance/notice.go
@@ -85,6 +85,10 @@
 	}
 	d.at = now
 	d.notices.leaving = d.notices.leaving || n.Leaving
+	if n.HasRateLimit {
+		d.notices.limit.own = limitResponse{n.RateLimit, true, now}
+		d.notices.limit.set(now, now, n.RateLimit, true)
+	}
 	d.notices.pause(now, n.Pause)
 	b.departed[a.server] = d
 }
