--- a/pkg/proxy/metrics.go
+++ b/pkg/proxy/metrics.go
@@ -21,6 +21,8 @@
 	refusedReplays *metrics.Counter
 	strayResponses *metrics.Counter
 
+	unresponsiveConns *metrics.Counter // connections closed because the server acknowledged nothing
+
 	requests  sync.Map // requestLabel to *metrics.Counter
 	attempts  sync.Map // attemptLabel to *metrics.Counter
 	durations sync.Map // fleet.Service to *metrics.Histogram
@@ -43,6 +45,8 @@
 		queueTime:      set.GetOrCreateHistogram("fulmarbeam_queue_seconds"),
 		refusedReplays: set.GetOrCreateCounter("fulmarbeam_transport_repeats_refused_total"),
 		strayResponses: set.GetOrCreateCounter("fulmarbeam_stray_answers_total"),
+
+		unresponsiveConns: set.GetOrCreateCounter("fulmarbeam_unresponsive_connections_total"),
 	}
 }
 
--- a/pkg/proxy/serverconn.go
+++ b/pkg/proxy/serverconn.go
@@ -154,14 +154,20 @@
 	}
 }
 
+// connHooks are called on events of a connection to a server.
+type connHooks struct {
+	bytes        func(n int) // sent or received
+	closed       func()      // once
+	unresponsive func()      // the connection is closed because of the server's silence
+}
+
 // serverConn is a connection to a server. It counts the bytes of the attempt that owns it. A byte received
 // before the request's first byte was sent is never counted as read for that request.
 type serverConn struct {
 	net.Conn
-	raw        syscall.RawConn
-	countBytes func(n int) // counts bytes in both directions
-	closeOnce  sync.Once
-	onClose    func() // called once on close
+	raw       syscall.RawConn
+	hooks     connHooks
+	closeOnce sync.Once
 
 	mu           sync.Mutex
 	owner        *wireAttempt
@@ -179,12 +185,12 @@
 	ackTimer    *time.Timer // runs while a request is sent or answered; nil before the first
 }
 
-func newServerConn(c *net.TCPConn, sendTimeout time.Duration, count func(n int), onClose func()) (*serverConn, error) {
+func newServerConn(c *net.TCPConn, sendTimeout time.Duration, hooks connHooks) (*serverConn, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &serverConn{Conn: c, raw: raw, sendTimeout: sendTimeout, countBytes: count, onClose: onClose,
+	return &serverConn{Conn: c, raw: raw, sendTimeout: sendTimeout, hooks: hooks,
 		readAcks: func() (netutil.AckState, error) { return netutil.ReadAckState(raw) }}, nil
 }
 
@@ -219,6 +225,7 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // what is not sent yet must not reach the server later
 	}
+	c.hooks.unresponsive()
 	_ = c.Conn.Close() // reads and writes fail now, and net/http calls Close
 }
 
@@ -285,7 +292,7 @@
 		}
 	}
 	wire.writtenBytes.Add(int64(n))
-	c.countBytes(n)
+	c.hooks.bytes(n)
 	return n, err
 }
 
@@ -461,7 +468,7 @@
 		return 0, err
 	}
 	n, err = readResult(c.Conn, n, err, c.closedError("read", rawErr))
-	c.countBytes(n)
+	c.hooks.bytes(n)
 	return n, err
 }
 
@@ -475,11 +482,11 @@
 	return opError(c.Conn, call, c.failure)
 }
 
-// Close closes the connection and calls onClose the first time.
+// Close closes the connection and calls its hook the first time.
 func (c *serverConn) Close() error {
 	c.mu.Lock()
 	c.stopAcks()
 	c.mu.Unlock()
-	c.closeOnce.Do(c.onClose)
+	c.closeOnce.Do(c.hooks.closed)
 	return c.Conn.Close()
 }
--- a/pkg/proxy/serverconn_test.go
+++ b/pkg/proxy/serverconn_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,7 +31,7 @@
 	defer l.Close()
 	d, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
-	c, err := newServerConn(d.(*net.TCPConn), 0, func(int) {}, func() {})
+	c, err := newServerConn(d.(*net.TCPConn), 0, connHooks{bytes: func(int) {}, closed: func() {}})
 	require.NoError(t, err)
 	defer c.Close()
 	peer, err := l.Accept()
@@ -173,7 +174,7 @@
 	defer l.Close()
 	d, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
-	c, err := newServerConn(d.(*net.TCPConn), 0, func(int) {}, func() {})
+	c, err := newServerConn(d.(*net.TCPConn), 0, connHooks{bytes: func(int) {}, closed: func() {}})
 	require.NoError(t, err)
 	t.Cleanup(func() { c.Close() })
 	peer, err := l.Accept()
@@ -209,9 +210,11 @@
 // reach it later. The kernel's state is a fake, since no packet is lost on a loopback address.
 func TestUnresponsiveServerIsGivenUp(t *testing.T) {
 	c, peer := dialServerConn(t)
+	var unresponsive atomic.Int32
 	c.mu.Lock()
 	c.sendTimeout = 20 * time.Millisecond
 	c.readAcks = func() (netutil.AckState, error) { return netutil.AckState{Outstanding: true, SinceAck: time.Hour}, nil }
+	c.hooks.unresponsive = func() { unresponsive.Add(1) }
 	c.watchAcks()
 	c.mu.Unlock()
 	sent := make(chan error, 1)
@@ -224,6 +227,7 @@
 	require.ErrorIs(t, <-sent, syscall.ETIMEDOUT)
 	_, err = io.Copy(io.Discard, peer)
 	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.Equal(t, int32(1), unresponsive.Load())
 }
 
 // Guards against a connection that is checked although no request is on it, and closed for what the last one left behind.
--- a/pkg/proxy/transport.go
+++ b/pkg/proxy/transport.go
@@ -92,6 +92,7 @@
 		count = func(n int) { c.Add(n) }
 	}
 	conns := t.metrics.conns(s.Service)
+	hooks := connHooks{bytes: count, closed: conns.Dec, unresponsive: t.metrics.unresponsiveConns.Inc}
 	dialer := netutil.NewDialer(t.limits.ConnectTimeout, t.limits.SendTimeout > 0)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
@@ -107,7 +108,7 @@
 				return nil, errors.Errorf("connection to %s is not TCP", s.Addr)
 			}
 			conns.Inc()
-			return newServerConn(tcp, t.limits.SendTimeout, count, conns.Dec)
+			return newServerConn(tcp, t.limits.SendTimeout, hooks)
 		},
 		Protocols:              &protocols,
 		DisableCompression:     true, // responses are forwarded unchanged
