A tombstone without a service is not displaced by an older incarnation

Cause: an entry with an unknown service yields to one with a known service, whatever their order. A tombstone that has no service, as another VM may pass it on, counted as unknown, so that a late registration of a removed incarnation would have restored the server.

Change: no service is not an unknown one.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -31,10 +31,10 @@
 
 // Limits for callers and servers that are not in the settings.
 const (
-	callerKeepAlive  = 75 * time.Second        // idle connection of a caller
-	serverKeepAlive  = 4 * time.Second         // idle connection to a server
-	connectTimeout   = 300 * time.Millisecond  // TCP connect to a server
-	sendTimeout      = 1500 * time.Millisecond // without an acknowledgement of what was sent to a server
+	callerKeepAlive  = 75 * time.Second       // idle connection of a caller
+	serverKeepAlive  = 4 * time.Second        // idle connection to a server
+	connectTimeout   = 300 * time.Millisecond // TCP connect to a server
+	sendTimeout      = 1500 * time.Millisecond
 	connsPerServer   = 64
 	maxUnsentRetries = 3
 	readyTimeout     = time.Second
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -83,7 +83,8 @@
 // SetServices sets the services of the document in effect. Before the first call all services are known.
 func (t *Table) SetServices(services map[fleet.Service]bool) { t.services = services }
 
-func (t *Table) isKnown(s fleet.Service) bool { return t.services == nil || t.services[s] }
+// isKnown reports whether a service may be that of a server. A tombstone may have none.
+func (t *Table) isKnown(s fleet.Service) bool { return t.services == nil || t.services[s] || s == "" }
 
 // supersedes reports whether e replaces the entry of a row. Another writer may have written an entry under the
 // server's ID, with an unknown service and any incarnation and sequence number; it yields to one with a known service.
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -95,6 +95,17 @@
 	}
 }
 
+// Guards against a tombstone without a service that an older incarnation of the removed server displaces.
+func TestTombstoneWithoutServiceHolds(t *testing.T) {
+	table := NewTable()
+	table.SetServices(map[fleet.Service]bool{"ticket-desk": true})
+	bare := registration("a", 9, 3, fleet.StateLive)
+	bare.Entry.Server.Service = ""
+	table.Apply(0, []Change{bare, {ID: "a"}}, 0)
+	require.Empty(t, table.Apply(0, []Change{registration("a", 5, 7, fleet.StateLive)}, 0))
+	require.Len(t, table.Apply(0, []Change{registration("a", 10, 1, fleet.StateLive)}, 0), 1)
+}
+
 // Guards against an impossible entry from another VM that replaces a server's, or is later than any of its entries.
 func TestImpossibleEntriesAreIgnored(t *testing.T) {
 	for name, change := range map[string]func(*Entry){
