--- a/pkg/balance/limit.go
+++ b/pkg/balance/limit.go
@@ -17,7 +17,10 @@
 // filled at the limit's rate and charged with its own attempts and with those that other VMs report. Requests
 // that several VMs send before they hear of each other overdraw the bucket, and the next ones wait until the
 // debt is paid. VMs of other regions, which hear of these attempts late, leave servers with a limit to the
-// VMs of their region.
+// VMs of their region. While those say nothing of the limit, one VM of each other region uses a small part of it.
+//
+// A limit holds until a response shows that it has ended: an own one, or one that another VM reports with its
+// age. That a VM does not know of a limit says nothing.
 
 const (
 	// limitBurst is how much of an unused limit is kept for a burst; at least one request.
@@ -27,14 +30,30 @@
 	// minLimitRate is the least rate, in requests per second of a region, at which a server is used. Only a
 	// response can show that its limit has ended.
 	minLimitRate = 0.25
-	// remoteLimitTTL is how long a VM of another region holds a limit in effect without hearing of it again.
+	// remoteLimitTTL is how long other regions leave a server alone after a VM of its zone told them of its limit.
 	remoteLimitTTL = 10 * time.Second
+	// remoteLimitShare is the part of a limit that each other region uses. The VMs of the server's region do not hear
+	// of these requests, so three other regions together stay below a third of the limit.
+	remoteLimitShare = 0.1
+	// minRemoteLimitRate is the least rate, in requests per second of another region. It keeps other regions from
+	// holding on to a limit that has ended while the server's own region does not use the server.
+	minRemoteLimitRate = 0.125
+	// maxRemoteLimitUsers is the number of VMs of another region that use a server with a limit.
+	maxRemoteLimitUsers = 1
 	// noticeReportTTL is how long a change of a server's limit or use is part of each report. A lost report
 	// then delays it until the next one.
 	noticeReportTTL = time.Second
 	// maxLimitUsers is the number of VMs that use a server with a limit. More would send it requests at the same
 	// time, before they hear of each other.
 	maxLimitUsers = 12
+	// maxNoticeAge bounds the age of what another VM reports of a server's response. A limit does not end with time, so an
+	// old report is as good as a new one unless a later response is known.
+	maxNoticeAge = departedTTL
+	// limitEndMargin is taken off the time of a response that ends a limit, if a digest reports it: digests travel
+	// longer than responses, and one that was sent before the limit must not look later.
+	limitEndMargin = 500 * time.Millisecond
+	// limitEndTTL is how long after its end a digest says that the limit of an idle server has ended.
+	limitEndTTL = 10 * time.Second
 	// limitUserInterval is the interval at which the users of a limit are determined.
 	limitUserInterval = time.Second
 	// maxReportedRate is the largest rate, in requests per second, that is taken from a message.
@@ -47,7 +66,9 @@
 type rateLimit struct {
 	rate    float64    // requests per second
 	named   bool       // the server names a limit at present
-	updated fleet.Time // when the latest response that names the limit, or shows that it has ended, was received; 0 for never
+	known   bool       // a response is known that names a limit, or shows that there is none
+	updated fleet.Time // when the latest such response was received; negative if that was before the start of this VM
+	endedAt fleet.Time // when the end of the latest limit became known; 0 for never
 	own     limitResponse
 
 	excluded  bool       // this VM is not one of the users of the limit
@@ -58,6 +79,10 @@
 	starts     uint32                // attempts of this VM since it knows the limit
 	recent     []fleet.Time          // when those of the last noticeReportTTL were started
 	peerStarts map[fleet.VMID]uint32 // the same of other VMs, by their last reports
+
+	// Of the server of another region:
+	toldAt     fleet.Time // when its zone told of the limit; 0 for never
+	remoteNext fleet.Time // earliest time of this VM's next request
 }
 
 // limitResponse is what the latest response to this VM says about a server's limit.
@@ -86,19 +111,31 @@
 // set applies what a response received at the given time says, unless a later one is known. A bucket
 // starts empty, since the server got as many requests as it could before.
 func (l *rateLimit) set(now, at fleet.Time, rate float64, named bool) {
-	if at <= l.updated {
+	if l.known && at <= l.updated {
 		return
 	}
 	if !named {
-		*l = rateLimit{updated: at, own: l.own}
+		if l.named {
+			*l = rateLimit{own: l.own, endedAt: max(now, 1)}
+		}
+		l.known, l.updated = true, at
 		return
 	}
-	if !l.named {
+	begins := !l.named
+	if begins {
 		l.filled = now
 	} else {
 		l.fill(now)
 	}
-	l.rate, l.named, l.updated = max(rate, minLimitRate), true, at
+	l.rate, l.named, l.known, l.updated = max(rate, minLimitRate), true, true, at
+	if begins {
+		l.remoteNext = now.Add(l.remoteInterval())
+	}
+}
+
+// remoteInterval is the interval between two requests of another region to the server.
+func (l *rateLimit) remoteInterval() time.Duration {
+	return time.Duration(float64(time.Second) / max(minRemoteLimitRate, remoteLimitShare*l.rate))
 }
 
 // burst returns the capacity of the bucket.
@@ -161,15 +198,14 @@
 	switch {
 	case !l.named:
 		return 0
-	case s.distance == otherRegion:
-		if now < l.updated.Add(remoteLimitTTL) {
-			return math.MaxInt64
-		}
-		return 0
 	case !b.usesLimit(now, s):
 		return math.MaxInt64
+	case s.distance != otherRegion:
+		return l.wait(now)
+	case l.toldAt != 0 && now.Sub(l.toldAt) < remoteLimitTTL:
+		return math.MaxInt64
 	}
-	return l.wait(now)
+	return max(0, l.remoteNext.Sub(now))
 }
 
 // usesLimit reports whether this VM is one of the users of the server's limit.
@@ -185,12 +221,16 @@
 // not one of them. VMs of the server's zone precede others, and a hash orders those of a group differently for
 // each server.
 func (b *Balancer) isPreceded(s *server) bool {
+	users := maxLimitUsers
+	if s.distance == otherRegion {
+		users = maxRemoteLimitUsers
+	}
 	hash := func(vm fleet.VMID) uint64 { return xxhash.Sum64String(string(vm) + "/" + string(s.entry.Server.ID)) }
 	own, inOwnGroup, preceding := hash(b.cfg.Self), s.distance == inZone, 0
 	for id, p := range b.peers {
 		near := p.zone == s.entry.Server.Zone
 		if near && !inOwnGroup || near == inOwnGroup && hash(id) > own {
-			if preceding++; preceding >= maxLimitUsers {
+			if preceding++; preceding >= users {
 				return true
 			}
 		}
@@ -198,10 +238,11 @@
 	return false
 }
 
-// startLimited records an attempt of this VM at a server with a limit.
-func (b *Balancer) startLimited(now fleet.Time, s *server) {
+// startLimited records an attempt of this VM, sent at a time, at a server with a limit.
+func (b *Balancer) startLimited(now, at fleet.Time, s *server) {
 	l := &s.notices.limit
 	l.charge(now, 1)
+	l.remoteNext = at.Add(l.remoteInterval())
 	l.starts++
 	l.recentStarts(now)
 	l.recent = append(l.recent, now)
@@ -231,16 +272,21 @@
 	b.noticeChanged(now, s)
 }
 
-// endLimit ends the limit if a response without one was received after the latest that named one.
+// endLimit records a response without a limit, and ends the limit if it was received after the latest that named one.
 func (b *Balancer) endLimit(now, at fleet.Time, s *server) {
 	l := &s.notices.limit
-	if !l.named || at <= l.updated {
+	if l.known && at <= l.updated {
 		return
 	}
-	b.noticeEvent("server_limit_ended", s, "a response does not name it", map[string]string{"before": l.String()})
+	ends := l.named
+	if ends {
+		b.noticeEvent("server_limit_ended", s, "a response does not name it", map[string]string{"before": l.String()})
+	}
 	l.own = limitResponse{at: at}
 	l.set(now, at, 0, false)
-	b.noticeChanged(now, s)
+	if ends {
+		b.noticeChanged(now, s)
+	}
 }
 
 // endsLimit reports whether a response shows that its server names no limit. Only one that the server
@@ -286,7 +332,7 @@
 		s.notices.leaving = true
 	}
 	l := &s.notices.limit
-	if u.AgeMS >= 0 && u.AgeMS <= maxObservationAge.Milliseconds() && isRate(u.Rate) {
+	if isNoticeAge(u.AgeMS) && isRate(u.Rate) {
 		l.set(now, now.Add(-time.Duration(u.AgeMS)*time.Millisecond), float64(u.Rate), u.Named)
 	}
 	if l.named {
@@ -297,18 +343,38 @@
 // isRate reports whether a rate in a message is possible; comparisons with NaN are false.
 func isRate(r float32) bool { return r >= 0 && r <= maxReportedRate }
 
-// digestLimit returns a server's limit for a digest; 0 if it names none.
-func (l *rateLimit) digestLimit() float32 {
-	if !l.named {
-		return 0
+// isNoticeAge reports whether an age in a message, in milliseconds, is one of a response.
+func isNoticeAge(ms int64) bool { return ms >= 0 && ms <= maxNoticeAge.Milliseconds() }
+
+// estimate adds what this VM knows of the limit to the estimate of its server.
+func (l *rateLimit) estimate(now fleet.Time, e *ServerEstimate) {
+	if !l.known {
+		return
+	}
+	e.LimitAgeMS = max(0, now.Sub(l.updated).Milliseconds())
+	if l.named {
+		e.Limit = float32(l.rate)
+	} else {
+		e.Unlimited = true
 	}
-	return float32(l.rate)
 }
 
-// applyDigestLimit applies a limit from a digest, unless this VM has later information.
-func (l *rateLimit) applyDigestLimit(now fleet.Time, rate float32) {
-	if l.updated == 0 && rate == 0 || l.updated != 0 && now.Sub(l.updated) < ownOutcomeTTL {
+// isNews reports whether a digest must tell of the limit although nothing else is to be said of its server.
+func (l *rateLimit) isNews(now fleet.Time) bool {
+	return l.named || l.endedAt != 0 && now.Sub(l.endedAt) <= limitEndTTL
+}
+
+// applyEstimate applies what another VM knows of the limit, unless a later response is known here.
+func (l *rateLimit) applyEstimate(now fleet.Time, e ServerEstimate) {
+	if !isNoticeAge(e.LimitAgeMS) || !isRate(e.Limit) {
 		return
 	}
-	l.set(now, now, float64(rate), rate > 0)
+	at := now.Add(-time.Duration(e.LimitAgeMS) * time.Millisecond)
+	switch {
+	case e.Limit > 0:
+		l.toldAt = max(now, 1)
+		l.set(now, at, float64(e.Limit), true)
+	case e.Unlimited:
+		l.set(now, at.Add(-limitEndMargin), 0, false)
+	}
 }
--- a/pkg/fleetsim/limits_test.go
+++ b/pkg/fleetsim/limits_test.go
@@ -64,3 +64,37 @@
 		require.GreaterOrEqual(t, r.LimitUse, 0.95, seed)
 	}
 }
+
+// smallFleet returns a scenario of a service with few servers, all of which name a limit.
+func smallFleet(t *testing.T, rate, limit float64, zones ...Zone) *Scenario {
+	s := loadScenario(t, "limits")
+	s.Zones, s.Rate, s.RateAmplitude, s.Failing = zones, rate, 0, Failing{}
+	s.Limits.Share, s.Limits.Rate = 1, limit
+	return s
+}
+
+// Guards against VMs of another region that send servers with a limit their whole load: the VM of the servers' region has
+// no callers, so that it says nothing of the limit.
+func TestRateLimitsHoldForCallersOfAnotherRegion(t *testing.T) {
+	for seed := range uint64(8) {
+		s := smallFleet(t, 28, 0.5, Zone{Name: "addis-a", Region: "addis", VMs: 1, Servers: 2, Idle: true}, Zone{Name: "hawassa-a", Region: "hawassa", VMs: 3},
+			Zone{Name: "bahirdar-a", Region: "bahirdar", VMs: 3})
+		r := runScenario(t, s, seed)
+		require.LessOrEqual(t, r.OverLimit, 0.0, seed)
+		require.Positive(t, r.LimitUse, seed)
+		require.Positive(t, r.InTime, seed)
+	}
+}
+
+// Guards against a VM that has just started, knows of no limit and ends it at the others: it is the only one in the
+// server's zone, and so sends that zone's digest.
+func TestRateLimitsHoldWhenTheServersZoneRestarts(t *testing.T) {
+	for seed := range uint64(8) {
+		for _, at := range []time.Duration{11 * time.Second, 14 * time.Second, 19 * time.Second} {
+			s := smallFleet(t, 12, 0.25, Zone{Name: "addis-a", Region: "addis", VMs: 3}, Zone{Name: "addis-b", Region: "addis", VMs: 1, Servers: 1})
+			s.Restart = &Restart{Zone: "addis-b", At: document.Duration(at), Down: document.Duration(time.Second)}
+			r := runScenario(t, s, seed)
+			require.LessOrEqual(t, r.OverLimit, 0.0, "seed %d, restart at %s", seed, at)
+		}
+	}
+}
--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -182,6 +182,9 @@
 		f.addRecent(now, f.position, due)
 	}
 	f.tickDocument(now)
+	for _, id := range f.table.Ignored() {
+		f.event("registration_ignored", "not the registration of server "+string(id))
+	}
 	if now.Sub(f.lastSweep) > sweepInterval {
 		f.lastSweep = now
 		f.table.DropTombstones(now)
@@ -496,10 +499,25 @@
 	}
 	f.doc, f.pendingDoc = d, d
 	f.claim.since, f.claim.reported = now, false // if a still newer one is known, its copy is on the way
+	f.table.SetServices(services(d))
 	f.docPosition = max(f.docPosition, position)
 	return true
 }
 
+// services returns the services of a document; nil if it has no content.
+func services(d *registry.Document) map[fleet.Service]bool {
+	if d.Doc == nil {
+		return nil
+	}
+	out := make(map[fleet.Service]bool)
+	for _, section := range d.Doc.Sections {
+		for name := range section.Services {
+			out[name] = true
+		}
+	}
+	return out
+}
+
 // Ready reports whether this VM has the registry and a document.
 func (f *Follower) Ready() bool { return f.initialized && f.doc != nil }
 
--- a/pkg/proxy/serverconn.go
+++ b/pkg/proxy/serverconn.go
@@ -7,8 +7,11 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/fulmarbeam/fulmarbeam/pkg/netutil"
 )
 
 // Reasons why a connection refuses the first byte of a request.
@@ -151,14 +154,20 @@
 	}
 }
 
+// connHooks are called on events of a connection to a server.
+type connHooks struct {
+	bytes        func(n int) // sent or received
+	closed       func()      // once
+	unresponsive func()      // the connection is closed because of the server's silence
+}
+
 // serverConn is a connection to a server. It counts the bytes of the attempt that owns it. A byte received
 // before the request's first byte was sent is never counted as read for that request.
 type serverConn struct {
 	net.Conn
-	raw        syscall.RawConn
-	countBytes func(n int) // counts bytes in both directions
-	closeOnce  sync.Once
-	onClose    func() // called once on close
+	raw       syscall.RawConn
+	hooks     connHooks
+	closeOnce sync.Once
 
 	mu           sync.Mutex
 	owner        *wireAttempt
@@ -167,19 +176,83 @@
 	refuseWrites bool // the owner has already used another connection
 	reused       bool
 	untrusted    bool // a response was suspect, or bytes were received before a request was sent
+
+	failure error // of the connection, if a write returned it or the server was found unresponsive
+
+	sendTimeout time.Duration // how long the server may acknowledge nothing of what was sent; 0 for no limit
+	readAcks    func() (netutil.AckState, error)
+	acks        netutil.AckMonitor
+	ackTimer    *time.Timer // runs while a request is sent or answered; nil before the first
 }
 
-func newServerConn(c *net.TCPConn, count func(n int), onClose func()) (*serverConn, error) {
+func newServerConn(c *net.TCPConn, sendTimeout time.Duration, hooks connHooks) (*serverConn, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &serverConn{Conn: c, raw: raw, countBytes: count, onClose: onClose}, nil
+	return &serverConn{Conn: c, raw: raw, sendTimeout: sendTimeout, hooks: hooks,
+		readAcks: func() (netutil.AckState, error) { return netutil.ReadAckState(raw) }}, nil
+}
+
+// ackChecks is how often the acknowledgements are checked within the send timeout.
+const ackChecks = 4
+
+// watchAcks starts the checks of the server's acknowledgements. mu must be held.
+func (c *serverConn) watchAcks() {
+	if c.sendTimeout <= 0 {
+		return
+	}
+	c.acks = netutil.AckMonitor{}
+	if c.ackTimer == nil {
+		c.ackTimer = time.AfterFunc(c.sendTimeout/ackChecks, c.checkAcks)
+		return
+	}
+	c.ackTimer.Reset(c.sendTimeout / ackChecks)
+}
+
+// stopAcks ends the checks. mu must be held.
+func (c *serverConn) stopAcks() {
+	if c.ackTimer != nil {
+		c.ackTimer.Stop()
+	}
+}
+
+// checkAcks closes the connection if the server has become unresponsive.
+func (c *serverConn) checkAcks() {
+	if !c.isUnresponsive(time.Now()) {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // what is not sent yet must not reach the server later
+	}
+	c.hooks.unresponsive()
+	_ = c.Conn.Close() // reads and writes fail now, and net/http calls Close
+}
+
+// isUnresponsive reports whether the server has acknowledged nothing for the send timeout. If not, it schedules the next
+// check.
+func (c *serverConn) isUnresponsive(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle || c.failure != nil {
+		return false
+	}
+	state, err := c.readAcks()
+	if err != nil {
+		return false // closed
+	}
+	if c.acks.Observe(now, state) < c.sendTimeout {
+		c.ackTimer.Reset(c.sendTimeout / ackChecks)
+		return false
+	}
+	c.failure = syscall.ETIMEDOUT
+	return true
 }
 
 func (c *serverConn) setOwner(wire *wireAttempt, refuseWrites, reused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.stopAcks()
 	c.owner, c.sendStarted, c.refuseWrites, c.reused, c.idle = wire, false, refuseWrites, reused, false
 }
 
@@ -189,6 +262,7 @@
 	defer c.mu.Unlock()
 	if c.owner == wire {
 		c.idle = true
+		c.stopAcks()
 	}
 }
 
@@ -210,7 +284,7 @@
 	if err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.send(p)
 	if first && n == 0 {
 		wire.revertSend()
 		if c.reused {
@@ -218,10 +292,41 @@
 		}
 	}
 	wire.writtenBytes.Add(int64(n))
-	c.countBytes(n)
+	c.hooks.bytes(n)
 	return n, err
 }
 
+// send writes to the socket. The kernel reports the failure of a connection only once: if a write gets it, the reads find
+// the end of the stream, as if the server had ended its response. Each system call and the record of its error are one
+// step under mu, so that no Read runs between them.
+func (c *serverConn) send(p []byte) (sent int, err error) {
+	rawErr := c.raw.Write(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for sent < len(p) && err == nil {
+			var n int
+			n, err = writeFD(int(fd), p[sent:])
+			sent += n
+		}
+		if err == syscall.EAGAIN {
+			err = nil
+			return false
+		}
+		// EPIPE is no failure of the connection: it follows the end of the stream, or a failure that was reported before.
+		if err != nil && err != syscall.EPIPE && c.failure == nil {
+			c.failure = err
+		}
+		return true
+	})
+	switch {
+	case rawErr != nil:
+		return sent, c.closedError("write", rawErr)
+	case err != nil:
+		return sent, opError(c.Conn, "write", err)
+	}
+	return sent, nil
+}
+
 // beginWrite returns the owner if it may write, and whether this write contains its first byte.
 func (c *serverConn) beginWrite() (wire *wireAttempt, first bool, err error) {
 	c.mu.Lock()
@@ -246,6 +351,7 @@
 		return nil, false, err
 	}
 	c.sendStarted = true
+	c.watchAcks()
 	return wire, true, nil
 }
 
@@ -300,13 +406,28 @@
 	}
 }
 
+// writeFD writes to a non-blocking socket.
+func writeFD(fd int, p []byte) (int, error) {
+	for {
+		n, err := syscall.Write(fd, p)
+		if err != syscall.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
+
+// opError returns the error of a system call in the form in which package net returns it.
+func opError(c net.Conn, call string, err error) error {
+	return &net.OpError{Op: call, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError(call, err)}
+}
+
 // readResult converts the results of readFD and RawConn.Read to those of net.Conn.Read.
 func readResult(c net.Conn, n int, err, rawErr error) (int, error) {
 	switch {
 	case rawErr != nil:
 		return 0, rawErr
 	case err != nil:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+		return 0, opError(c, "read", err)
 	case n == 0:
 		return 0, io.EOF
 	}
@@ -326,6 +447,9 @@
 		if err == syscall.EAGAIN {
 			return false
 		}
+		if n == 0 && err == nil {
+			err = c.failure
+		}
 		switch {
 		case n > 0 && c.idle:
 			n, err, c.untrusted = 0, errStrayBytes, true
@@ -343,13 +467,26 @@
 	if err == errStrayBytes && rawErr == nil {
 		return 0, err
 	}
-	n, err = readResult(c.Conn, n, err, rawErr)
-	c.countBytes(n)
+	n, err = readResult(c.Conn, n, err, c.closedError("read", rawErr))
+	c.hooks.bytes(n)
 	return n, err
 }
 
-// Close closes the connection and calls onClose the first time.
+// closedError returns the error of a call on a closed connection: the failure because of which it was closed, if any.
+func (c *serverConn) closedError(call string, err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil || c.failure == nil {
+		return err
+	}
+	return opError(c.Conn, call, c.failure)
+}
+
+// Close closes the connection and calls its hook the first time.
 func (c *serverConn) Close() error {
-	c.closeOnce.Do(c.onClose)
+	c.mu.Lock()
+	c.stopAcks()
+	c.mu.Unlock()
+	c.closeOnce.Do(c.hooks.closed)
 	return c.Conn.Close()
 }
