--- a/review/second/main.go
+++ b/review/second/main.go
@@ -17,6 +17,8 @@
 }
 
 var cases = map[string]func(setup) (broken bool, err error){
+
+	"prefix":  runPrefix,
 	"restore": runRestore,
 }
 
