--- a/review/second/main.go
+++ b/review/second/main.go
@@ -17,7 +17,7 @@
 }
 
 var cases = map[string]func(setup) (broken bool, err error){
-
+	"headers": runHeaders,
 	"prefix":  runPrefix,
 	"restore": runRestore,
 }
