--- a/review/second/case_restore.go
+++ b/review/second/case_restore.go
@@ -21,8 +21,12 @@
 	name, path, kind, service string
 }
 
-// configuration returns a configuration in the form of the operator.
+// configuration returns a configuration in the form of the operator, with a timeout of 2 s for all routes.
 func configuration(version int, host string, routes ...routeSpec) []byte {
+	return configurationWithTimeout(version, host, 2, routes...)
+}
+
+func configurationWithTimeout(version int, host string, timeoutS float64, routes ...routeSpec) []byte {
 	var resources []any
 	resource := func(kind, name string, spec map[string]any) {
 		meta := map[string]any{}
@@ -32,7 +36,7 @@
 		resources = append(resources, map[string]any{"type": kind, "metadata": meta, "spec": spec})
 	}
 	for _, r := range routes {
-		resource("routes", r.name, map[string]any{"host": host, "pathPrefix": r.path, "routeType": r.kind, "timeoutS": 2,
+		resource("routes", r.name, map[string]any{"host": host, "pathPrefix": r.path, "routeType": r.kind, "timeoutS": timeoutS,
 			"targetLatencyS": 1, "priority": 1, "service": r.service, "attempts": 2})
 	}
 	for _, name := range []string{"desk", "counter"} {
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -20,6 +20,7 @@
 	"headers": runHeaders,
 	"prefix":  runPrefix,
 	"restore": runRestore,
+	"stop":    runStop,
 }
 
 func main() {
